--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/", "node_modules/", "coverage/"] },
+    { ignores: ["dist/", "target/", "journal/", "node_modules/", "coverage/"] },
     ...tseslint.configs.recommended,
     {
         rules: {
--- /dev/null
+++ b/src/connection/gatewayServer.ts
@@ -0,0 +1,366 @@
+import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Server as SocketServer, type Socket } from "node:net";
+import type { AnswerHead, AnswerStream, GatewayCall, GatewayReply } from "../request/gatewayCall.js";
+import { problemOfRefusal, refuse, type Refusal } from "../request/refusal.js";
+import type { ClientLimits } from "../version/routeConfig.js";
+
+/** Limits that hold until a config is known. */
+export const DEFAULT_CLIENT_LIMITS: ClientLimits = {
+    headerBytes: 16_384,
+    bodyBytes: 67_108_864,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+};
+/** Largest header section that the parser takes, in bytes. The limit in force may be lower and can change. */
+const PARSER_HEADER_BYTES = 131_072;
+/** Bytes of bodies that the process holds at most for all requests together. */
+const HELD_BODY_BYTES = 67_108_864;
+/** Time between two looks for connections that stall, in milliseconds. */
+const STALL_CHECK_MS = 500;
+/** Most open connections of callers; the rest of the descriptors is for targets. */
+export const DEFAULT_CALLER_CONNECTIONS = 3_000;
+/** Unsent requests that may wait on a listening socket. */
+const BACKLOG = 1_024;
+
+/** Headers of an answer that concern the target's connection only. */
+const CONNECTION_HEADERS = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
+/** Headers of a request that aren't forwarded; the body is sent with a length. */
+const UNFORWARDED_HEADERS = new Set([
+    ...CONNECTION_HEADERS,
+    "content-length",
+    "expect",
+    "host",
+    "http2-settings",
+    "proxy-authorization",
+]);
+
+/** Takes a request; the returned function ends the work when the caller goes. */
+export type CallHandler = (call: GatewayCall, reply: GatewayReply) => () => void;
+
+/** What the decoder of a caller's headers finds. */
+export type CallFields = Pick<GatewayCall, "requestId" | "deadlineMs" | "key">;
+
+interface Exchange {
+    cancel: () => void;
+    response: ServerResponse;
+}
+
+/** The state of one connection of a caller. */
+interface CallerConnection {
+    exchanges: Set<Exchange>;
+    /** Bytes received when the last answer was handed over; `undefined` while a request is under way. */
+    idleAtBytes: number | undefined;
+}
+
+/** Names that the `Connection` header declares to concern this connection only. */
+const namedByConnection = (request: IncomingMessage): Set<string> | undefined => {
+    const value = request.headers.connection;
+    if (value === undefined || /^(keep-alive|close)$/i.test(value)) {
+        return undefined;
+    }
+    return new Set(value.split(",").map(name => name.trim().toLowerCase()));
+};
+
+/**
+ * Headers of a request without those that concern one connection or that `isReserved` names.
+ */
+const forwardedHeaders = (request: IncomingMessage, isReserved: (name: string) => boolean): string[] => {
+    const named = namedByConnection(request);
+    const headers: string[] = [];
+    const { rawHeaders } = request;
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index].toLowerCase();
+        if (!UNFORWARDED_HEADERS.has(name) && !isReserved(name) && named?.has(name) !== true) {
+            headers.push(rawHeaders[index], rawHeaders[index + 1]);
+        }
+    }
+    return headers;
+};
+
+const headerBytes = (request: IncomingMessage): number =>
+    request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0);
+
+const endWithProblem = (socket: Socket, refusal: Refusal): void => {
+    const problem = problemOfRefusal(refusal);
+    const body = JSON.stringify(problem.body);
+    socket.end(
+        `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status]}\r\ncontent-type: application/problem+json\r\n` +
+            `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+    );
+};
+
+const refusalOfClientError = (error: NodeJS.ErrnoException): Refusal => {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return refuse("header-too-large", "The headers exceed the limit.");
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return refuse("request-timeout", "The rest of the request did not come.");
+        default:
+            return refuse("malformed-request", "The bytes are not an HTTP/1.1 request.");
+    }
+};
+
+/** The HTTP server for callers of a gateway, with what a graceful end needs. */
+export interface GatewayServer {
+    listen(port: number, host: string): Promise<void>;
+    /** Applies the limits of a new config to new requests and connections. */
+    setLimits(limits: ClientLimits): void;
+    /** From now on each answer closes its connection, and connections between requests are closed. */
+    startDraining(): void;
+    /** Requests without a complete answer. */
+    unfinished(): number;
+    dispose(): void;
+}
+
+/**
+ * Creates the HTTP server for callers. It uses the runtime's server directly: the framework would normalize the request
+ * target, which has to reach the target unchanged. Requests that come behind each other on a connection run at the same
+ * time and are answered in order.
+ *
+ * @example
+ * const server = createGatewayServer({ handle, fieldsOf, isReserved, monotonicMs: clock.monotonicMs });
+ * await server.listen(8641, "10.1.0.15");
+ */
+export const createGatewayServer = (options: {
+    handle: CallHandler;
+    fieldsOf: (headers: IncomingMessage["headers"]) => CallFields;
+    /** Whether a header is set by the gateway and must not come from a caller. */
+    isReserved: (name: string) => boolean;
+    monotonicMs: () => number;
+    connectionLimit?: number;
+}): GatewayServer => {
+    let limits = DEFAULT_CLIENT_LIMITS;
+    let draining = false;
+    let heldBytes = 0;
+    const connections = new Map<Socket, CallerConnection>();
+
+    const connectionOf = (socket: Socket): CallerConnection => {
+        const known = connections.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const connection: CallerConnection = { exchanges: new Set(), idleAtBytes: 0 };
+        connections.set(socket, connection);
+        const callerGone = () => connection.exchanges.forEach(exchange => exchange.cancel());
+        // A caller that gives up closes its connection, of which the end of its bytes is the first sign.
+        socket.once("end", callerGone);
+        socket.once("close", () => {
+            connections.delete(socket);
+            callerGone();
+        });
+        return connection;
+    };
+
+    /** Closes a connection between requests. Bytes of a request that is on its way aren't read, so it didn't run. */
+    const closeIfIdle = (socket: Socket, connection: CallerConnection) => {
+        if (connection.exchanges.size === 0 && connection.idleAtBytes === socket.bytesRead) {
+            socket.end();
+        }
+    };
+
+    const replyTo = (
+        connection: CallerConnection,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): GatewayReply => {
+        /** Behind this answer no other request is under way, so its connection can be closed. */
+        const closeWhenDraining = () => {
+            if (draining && connection.exchanges.size === 1) {
+                response.setHeader("connection", "close");
+            }
+        };
+        const writeHead = (head: AnswerHead, length: number | undefined) => {
+            response.statusCode = head.status;
+            let hasLength = false;
+            for (const { name, value } of head.headers) {
+                if (!CONNECTION_HEADERS.has(name.toLowerCase())) {
+                    hasLength ||= name.toLowerCase() === "content-length";
+                    response.appendHeader(name, value);
+                }
+            }
+            const mayHaveBody = request.method !== "HEAD" && head.status !== 204 && head.status !== 304;
+            if (!hasLength && length !== undefined && mayHaveBody) {
+                response.setHeader("content-length", length);
+            }
+            closeWhenDraining();
+        };
+        return {
+            answer: (head, body) => {
+                const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
+                writeHead(head, length);
+                response.end(body.length === 1 ? body[0] : Buffer.concat(body));
+            },
+            refuse: refusal => {
+                const problem = problemOfRefusal(refusal);
+                const body = JSON.stringify(problem.body);
+                response.statusCode = problem.status;
+                response.setHeader("content-type", "application/problem+json");
+                response.setHeader("content-length", Buffer.byteLength(body));
+                if (problem.retryAfterSeconds !== undefined) {
+                    response.setHeader("retry-after", Number(problem.retryAfterSeconds.toFixed(2)));
+                }
+                closeWhenDraining();
+                response.end(body);
+            },
+            stream: (head, onDrain): AnswerStream => {
+                writeHead(head, undefined);
+                response.on("drain", onDrain);
+                return {
+                    data: chunk => response.write(chunk),
+                    end: () => response.end(),
+                    abort: () => response.destroy(),
+                };
+            },
+        };
+    };
+
+    /** Hands the request on when its body is whole. */
+    const receive = (request: IncomingMessage, response: ServerResponse) => {
+        const arrivedAt = options.monotonicMs();
+        const connection = connectionOf(request.socket);
+        const exchange: Exchange = { cancel: () => undefined, response };
+        connection.exchanges.add(exchange);
+        connection.idleAtBytes = undefined;
+        response.sendDate = false;
+        const reply = replyTo(connection, request, response);
+        let bodyBytes = 0;
+        const chunks: Buffer[] = [];
+        const endExchange = () => {
+            heldBytes -= bodyBytes;
+            bodyBytes = 0;
+            connection.exchanges.delete(exchange);
+            if (connection.exchanges.size === 0) {
+                connection.idleAtBytes = request.socket.bytesRead;
+            }
+        };
+        response.once("close", endExchange);
+        const refuseUnread = (refusal: Refusal) => {
+            // The rest of the body isn't read, so the connection can't be used again.
+            response.setHeader("connection", "close");
+            reply.refuse(refusal);
+        };
+        const start = () => {
+            const call: GatewayCall = {
+                method: request.method ?? "GET",
+                url: request.url ?? "/",
+                host: request.headers.host ?? "",
+                headers: forwardedHeaders(request, options.isReserved),
+                body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks),
+                arrivedAt,
+                ...options.fieldsOf(request.headers),
+            };
+            exchange.cancel = options.handle(call, reply);
+        };
+        if (headerBytes(request) > limits.headerBytes) {
+            refuseUnread(refuse("header-too-large", `The headers exceed ${limits.headerBytes} bytes.`));
+            return;
+        }
+        const announced = Number(request.headers["content-length"] ?? 0);
+        if (announced > limits.bodyBytes) {
+            refuseUnread(
+                refuse("body-too-large", `The body has ${announced} bytes; the limit is ${limits.bodyBytes}.`),
+            );
+            return;
+        }
+        if (heldBytes + announced > HELD_BODY_BYTES) {
+            refuseUnread(refuse("overloaded", "Too many bytes of request bodies are held.", 0.5));
+            return;
+        }
+        if (announced === 0 && request.headers["transfer-encoding"] === undefined) {
+            start();
+            return;
+        }
+        let isRefused = false;
+        request.on("data", (chunk: Buffer) => {
+            if (isRefused) {
+                return;
+            }
+            chunks.push(chunk);
+            bodyBytes += chunk.length;
+            heldBytes += chunk.length;
+            if (bodyBytes > limits.bodyBytes || heldBytes > HELD_BODY_BYTES) {
+                isRefused = true;
+                refuseUnread(
+                    bodyBytes > limits.bodyBytes
+                        ? refuse("body-too-large", `The body has more than ${limits.bodyBytes} bytes.`)
+                        : refuse("overloaded", "Too many bytes of request bodies are held.", 0.5),
+                );
+            }
+        });
+        request.once("end", () => {
+            if (!isRefused) {
+                start();
+            }
+        });
+        // The connection's end handles a request that breaks off; without a listener the error would end the process.
+        request.once("error", () => endExchange());
+    };
+
+    const server: Server = createServer(
+        {
+            maxHeaderSize: PARSER_HEADER_BYTES,
+            headersTimeout: limits.headerTimeoutMs,
+            requestTimeout: 0,
+            connectionsCheckingInterval: STALL_CHECK_MS,
+            keepAliveTimeout: limits.idleTimeoutMs,
+            noDelay: true,
+        },
+        receive,
+    );
+    server.maxConnections = options.connectionLimit ?? DEFAULT_CALLER_CONNECTIONS;
+    server.on("connection", (socket: Socket) => void connectionOf(socket));
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+        const exchanges = [...(connections.get(socket)?.exchanges ?? [])];
+        if (!socket.writable || error.code === "ECONNRESET") {
+            socket.destroy();
+            return;
+        }
+        const whole = exchanges.filter(({ response }) => response.req.complete);
+        if (whole.length === 0) {
+            endWithProblem(socket, refusalOfClientError(error));
+            return;
+        }
+        // Whole requests came before the bad bytes. The refusal must not be taken for the answer to one of them.
+        socket.pause();
+        const endWhenAnswered = () => {
+            if (whole.every(({ response }) => response.closed) && socket.writable) {
+                endWithProblem(socket, refusalOfClientError(error));
+            }
+        };
+        whole.forEach(({ response }) => response.once("close", endWhenAnswered));
+    });
+
+    return {
+        listen: (port, host) =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen({ port, host, backlog: BACKLOG }, () => {
+                    server.off("error", reject);
+                    resolve();
+                });
+            }),
+        setLimits: next => {
+            limits = next;
+            server.headersTimeout = next.headerTimeoutMs;
+            server.keepAliveTimeout = next.idleTimeoutMs;
+        },
+        startDraining: () => {
+            draining = true;
+            connections.forEach((connection, socket) => closeIfIdle(socket, connection));
+        },
+        unfinished: () => [...connections.values()].reduce((sum, { exchanges }) => sum + exchanges.size, 0),
+        dispose: () => {
+            SocketServer.prototype.close.call(server);
+            connections.forEach((_, socket) => socket.destroy());
+        },
+    };
+};
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -13,7 +13,8 @@
 export interface TargetRequest {
     method: string;
     path: string;
-    headers: Record<string, string>;
+    /** By name, or names and values by turns. */
+    headers: Record<string, string> | string[];
     body: Uint8Array;
 }
 
@@ -96,11 +97,12 @@
     ) {}
 
     /**
-     * Sends a request on an idle connection, or on a new one when there is none or `fresh` is set. At the limit an idle
+     * Sends a request on an idle connection, or on a new one when there is none or `fresh` is set. Connections
+     * idle for more than `maxIdleMs` are closed, as the target may be about to close them. At the limit an idle
      * connection makes room for a new one; without one the request fails as `connection-limit` before it is sent.
      */
-    send(request: TargetRequest, answer: TargetAnswer, options: { fresh: boolean }): SentRequest {
-        const connection = (options.fresh ? undefined : this.takeIdle()) ?? this.openWithinLimit();
+    send(request: TargetRequest, answer: TargetAnswer, options: { fresh: boolean; maxIdleMs?: number }): SentRequest {
+        const connection = (options.fresh ? undefined : this.takeIdle(options.maxIdleMs)) ?? this.openWithinLimit();
         if (connection === undefined) {
             return this.failAtLimit(answer);
         }
@@ -182,14 +184,17 @@
         [...this.connections].forEach(connection => this.discard(connection));
     }
 
-    private takeIdle(): TargetConnection | undefined {
+    private takeIdle(maxIdleMs = DEFAULT_IDLE_LIMIT_MS): TargetConnection | undefined {
         const now = this.clock.monotonicMs();
         for (;;) {
             const connection = this.idle.pop();
             if (connection === undefined) {
                 return undefined;
             }
-            if (connection.client.destroyed || now - connection.lastSuccessAt > DEFAULT_IDLE_LIMIT_MS) {
+            if (
+                connection.client.destroyed ||
+                now - connection.lastSuccessAt > Math.min(maxIdleMs, DEFAULT_IDLE_LIMIT_MS)
+            ) {
                 this.discard(connection);
                 continue;
             }
--- /dev/null
+++ b/src/process/gateway/assignerLease.ts
@@ -0,0 +1,217 @@
+import { z } from "zod";
+import type { Clock, TimerCancellation } from "../clock.js";
+import type { Logger } from "../logger.js";
+import { parseJson } from "../parseJson.js";
+import type { RowStore } from "./rowStore.js";
+
+/** Table of the lease. It has no other rows, so that renewals wake nobody who follows a table. */
+export const LEASE_TABLE = "sassafrasloom-lease";
+export const LEASE_KEY = "assigner";
+/** Time for which a written lease holds, in milliseconds. Several renewals may fail within it. */
+export const LEASE_MS = 4_000;
+/** Time between two renewals, in milliseconds. */
+const RENEWAL_MS = 1_200;
+/**
+ * Time between two looks of the others at the lease, in milliseconds. Longer than the lease, so that a row that hasn't
+ * changed between two looks is a lease that has ended; the looks of several instances fall at different times.
+ */
+const WATCH_MS = 5_000;
+/** Pause after a call that failed, in milliseconds. */
+const FAILURE_PAUSE_MS = 250;
+/** Difference of the clocks' rates that the wait for another's lease allows for. */
+const CLOCK_DRIFT = 0.02;
+/** Change between the time of day and the steady clock that is taken for a suspension, in milliseconds. */
+const SUSPENSION_MS = 250;
+
+const leaseSchema = z.object({ instance: z.string(), incarnation: z.string(), renewal: z.number().int() });
+type Lease = z.infer<typeof leaseSchema>;
+
+/**
+ * The lease of the one instance that assigns keys. It is a row of the store that its holder rewrites; another instance
+ * takes it over when the row hasn't changed for the lease's time. The holder counts the time from before its write, the
+ * others from after their reading, so that two never hold it at once.
+ *
+ * A steady clock may stand still while a machine is suspended, so a change of the time of day against it ends the lease
+ * for the holder until the next renewal.
+ *
+ * @example
+ * const lease = new AssignerLease({ store, instance, incarnation, clock, logger, gained, lost });
+ * lease.start();
+ * lease.isHeld();
+ */
+export class AssignerLease {
+    private rowVersion: number | undefined;
+    private rowSeenAt = 0;
+    private heldUntil = -Infinity;
+    private isHolder = false;
+    private renewal = 0;
+    private wallOffsetMs: number;
+    private disposed = false;
+    private cancelTimer: TimerCancellation = () => undefined;
+
+    constructor(
+        private readonly options: {
+            store: RowStore;
+            instance: string;
+            /** Differs at each start of the instance. */
+            incarnation: string;
+            clock: Clock;
+            logger: Logger;
+            gained: () => void;
+            lost: () => void;
+            random?: () => number;
+        },
+    ) {
+        this.wallOffsetMs = this.offsetMs();
+    }
+
+    /** Whether this instance may assign and grant keys now. */
+    isHeld(): boolean {
+        const offsetMs = this.offsetMs();
+        if (Math.abs(offsetMs - this.wallOffsetMs) > SUSPENSION_MS) {
+            this.wallOffsetMs = offsetMs;
+            this.heldUntil = -Infinity;
+        }
+        return this.options.clock.monotonicMs() < this.heldUntil;
+    }
+
+    /** Version of the lease's row, which transactions of the holder expect. */
+    get version(): number {
+        return this.rowVersion ?? 0;
+    }
+
+    start(): void {
+        void this.run();
+    }
+
+    /** Gives the lease up, so that another instance need not wait for its end. */
+    async release(): Promise<void> {
+        this.disposed = true;
+        this.cancelTimer();
+        if (this.isHolder && this.isHeld()) {
+            this.step("lost");
+            const name = { table: LEASE_TABLE, key: LEASE_KEY };
+            await this.options.store.transact({
+                expected: [{ ...name, version: this.version }],
+                puts: [],
+                deletes: [name],
+            });
+        }
+    }
+
+    dispose(): void {
+        this.disposed = true;
+        this.cancelTimer();
+    }
+
+    private async run(): Promise<void> {
+        while (!this.disposed) {
+            const pauseMs = this.isHolder ? await this.write() : await this.watch();
+            await new Promise<void>(resolve => {
+                this.cancelTimer = this.options.clock.setTimer(pauseMs, resolve);
+            });
+        }
+    }
+
+    /** Looks at the lease and takes it when it has ended. Returns the pause until the next look. */
+    private async watch(): Promise<number> {
+        const { store, clock, instance } = this.options;
+        const row = await store.row(LEASE_TABLE, LEASE_KEY);
+        if (row.isErr()) {
+            return FAILURE_PAUSE_MS * 2;
+        }
+        const now = clock.monotonicMs();
+        const version = row.value?.version ?? 0;
+        const lease = row.value?.value === undefined ? undefined : this.parse(row.value.value);
+        if (version !== this.rowVersion) {
+            this.rowVersion = version;
+            this.rowSeenAt = now;
+        }
+        // One process runs under an instance's name at a time, so an earlier one under this name has ended.
+        const isFree = lease === undefined || lease.instance === instance;
+        const endsInMs = this.rowSeenAt + LEASE_MS * (1 + CLOCK_DRIFT) - now;
+        if (isFree || endsInMs <= 0) {
+            return this.write();
+        }
+        return WATCH_MS * (0.9 + 0.2 * (this.options.random ?? Math.random)());
+    }
+
+    private async write(): Promise<number> {
+        const { store, clock, instance, incarnation } = this.options;
+        const sentAt = clock.monotonicMs();
+        const offsetMs = this.offsetMs();
+        const lease: Lease = { instance, incarnation, renewal: ++this.renewal };
+        const name = { table: LEASE_TABLE, key: LEASE_KEY };
+        const written = await store.transact({
+            expected: [{ ...name, version: this.version }],
+            puts: [{ ...name, value: Buffer.from(JSON.stringify(lease)) }],
+        });
+        if (written.isOk() && written.value.type === "committed") {
+            this.rowVersion = written.value.version;
+            this.hold(sentAt, offsetMs);
+            return RENEWAL_MS;
+        }
+        if (written.isOk()) {
+            return this.readBack();
+        }
+        this.checkLost();
+        return FAILURE_PAUSE_MS;
+    }
+
+    /** After a conflict: an earlier write of this process whose answer was lost may be what is there. */
+    private async readBack(): Promise<number> {
+        const { store, instance } = this.options;
+        const row = await store.row(LEASE_TABLE, LEASE_KEY);
+        if (row.isErr()) {
+            this.checkLost();
+            return FAILURE_PAUSE_MS;
+        }
+        const lease = row.value?.value === undefined ? undefined : this.parse(row.value.value);
+        this.rowVersion = row.value?.version ?? 0;
+        this.rowSeenAt = this.options.clock.monotonicMs();
+        if (lease?.instance === instance) {
+            // When the earlier write was done isn't known, so it doesn't prolong the lease; another write does.
+            return 0;
+        }
+        this.options.logger.info("Another instance holds the lease for assigning keys.", { holder: lease?.instance });
+        this.heldUntil = -Infinity;
+        this.checkLost();
+        return WATCH_MS;
+    }
+
+    private hold(sentAt: number, offsetMs: number): void {
+        if (Math.abs(this.offsetMs() - offsetMs) > SUSPENSION_MS) {
+            return;
+        }
+        this.wallOffsetMs = offsetMs;
+        this.heldUntil = sentAt + LEASE_MS;
+        if (!this.isHolder) {
+            this.step("gained");
+        }
+    }
+
+    private checkLost(): void {
+        if (this.isHolder && !this.isHeld()) {
+            this.step("lost");
+        }
+    }
+
+    private step(change: "gained" | "lost"): void {
+        this.isHolder = change === "gained";
+        this.options.logger.info(`The lease for assigning keys was ${change}.`, { version: this.rowVersion });
+        this.options[change]();
+    }
+
+    private parse(value: Buffer): Lease | undefined {
+        const parsed = leaseSchema.safeParse(parseJson(value.toString()));
+        if (!parsed.success) {
+            this.options.logger.warn("The lease's row can't be read; waiting for its end.", {});
+            return { instance: "", incarnation: "", renewal: 0 };
+        }
+        return parsed.data;
+    }
+
+    private offsetMs(): number {
+        return this.options.clock.wallMs() - this.options.clock.monotonicMs();
+    }
+}
--- /dev/null
+++ b/src/process/gateway/configKeeper.ts
@@ -0,0 +1,52 @@
+import type { Result } from "neverthrow";
+import type { RouteConfig } from "../../version/routeConfig.js";
+import { RouteLookup } from "../../version/routeLookup.js";
+import type { Logger } from "../logger.js";
+
+/** Why a config isn't taken. */
+export interface ConfigProblem {
+    type: "bad-config";
+    detail: string;
+}
+
+/**
+ * Keeps the newest good config. A config that is broken, or not newer than the one in force, changes nothing.
+ *
+ * @example
+ * const keeper = new ConfigKeeper({ logger, onChange: lookup => server.setLimits(lookup.config.limits) });
+ * keeper.take(decoded);
+ */
+export class ConfigKeeper {
+    private lookup: RouteLookup | undefined;
+
+    constructor(private readonly options: { logger: Logger; onChange: (lookup: RouteLookup) => void }) {}
+
+    /** The routes in force, or `undefined` before the first config. */
+    get current(): RouteLookup | undefined {
+        return this.lookup;
+    }
+
+    take(decoded: Result<RouteConfig, ConfigProblem>): void {
+        const { logger, onChange } = this.options;
+        if (decoded.isErr()) {
+            logger.error("A config is refused; the last good one stays in force.", {
+                version: this.lookup?.config.version,
+                detail: decoded.error.detail,
+            });
+            return;
+        }
+        const config = decoded.value;
+        if (this.lookup !== undefined && config.version <= this.lookup.config.version) {
+            if (config.version < this.lookup.config.version) {
+                logger.warn("An older config is ignored.", {
+                    version: config.version,
+                    current: this.lookup.config.version,
+                });
+            }
+            return;
+        }
+        logger.info("A config is in force.", { version: config.version, routes: config.routes.length });
+        this.lookup = new RouteLookup(config);
+        onChange(this.lookup);
+    }
+}
--- /dev/null
+++ b/src/process/gateway/gateway.ts
@@ -0,0 +1,418 @@
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import type { Result } from "neverthrow";
+import { createGatewayServer, type CallFields, type GatewayServer } from "../../connection/gatewayServer.js";
+import type { Header } from "../../connection/peerProtocol.js";
+import type { AnswerFacts, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
+import { GatewayRequest, type GatewayServices } from "../../request/gatewayRequest.js";
+import { refuse } from "../../request/refusal.js";
+import type { RouteConfig } from "../../version/routeConfig.js";
+import { WeightedSplit } from "../../version/weightedSplit.js";
+import { repeat, type Clock } from "../clock.js";
+import { DisposableStore } from "../disposableStore.js";
+import type { Logger, LogPart } from "../logger.js";
+import { RetryBudget } from "../retryBudget.js";
+import { AssignerLease } from "./assignerLease.js";
+import { ConfigKeeper, type ConfigProblem } from "./configKeeper.js";
+import { GatewayTarget } from "./gatewayTarget.js";
+import { ASSIGNMENT_TABLE, KeyAssigner } from "./keyAssigner.js";
+import { keyAssignmentSchema, KeyMap } from "./keyMap.js";
+import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
+import type { OwnershipCalls } from "./ownershipCalls.js";
+import { parseJson } from "../parseJson.js";
+import { startReadinessServer, type ReadinessServer } from "./readinessServer.js";
+import { RequestLog } from "./requestLog.js";
+import type { RowStore, StoredRow } from "./rowStore.js";
+import { TableFollower } from "./tableFollower.js";
+import { TargetDirectory, type DirectoryTarget } from "./targetDirectory.js";
+import type { TargetEntry } from "./targetEntry.js";
+import { TargetPlacement } from "./targetPlacement.js";
+
+/** Pause between two reads of changes of targets, in milliseconds; changes within it cost one call together. */
+const TARGET_CHANGES_PAUSE_MS = 300;
+/** Time without an answer of the store after which it counts as out of reach, in milliseconds. */
+const OUTAGE_MS = 1_000;
+const OUTAGE_CHECK_MS = 250;
+/**
+ * Retries as a share of requests. Half of what is allowed, since a burst may use what the quiet time before it has saved.
+ */
+const RETRY_SHARE = 0.1;
+/** Retries that an instance has at least, and how many accrue a second; small, as all instances have them. */
+const MINIMUM_RETRIES = 1;
+const IDLE_RETRIES_PER_SECOND = 0.1;
+/** Share of a target's connections that all instances may use together, and the instances that share them at least. */
+const CONNECTION_SHARE = 0.8;
+const ASSUMED_INSTANCES = 12;
+/** Time that a stopping instance goes on taking connections: the balancer needs it to notice. In milliseconds. */
+const BALANCER_NOTICE_MS = 2_500;
+const DRAIN_STEP_MS = 100;
+
+/** The platform as the gateway uses it; implemented outside the product. */
+export interface GatewayPlatform {
+    store: RowStore;
+    calls: OwnershipCalls;
+    /** Where the operator's config and the targets' entries are kept. */
+    tables: { config: string; configKey: string; targets: string };
+    decodeConfig(value: Buffer): Result<RouteConfig, ConfigProblem>;
+    /** The entry of a target, or `undefined` for a row that names none. */
+    decodeTarget(id: string, value: Buffer): TargetEntry | undefined;
+    fieldsOf(headers: IncomingMessage["headers"]): CallFields;
+    isReserved(header: string): boolean;
+    targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
+    factsOf(status: number, headers: Header[]): AnswerFacts;
+}
+
+/** What a gateway is started with. */
+export interface GatewayOptions {
+    instance: string;
+    /** Failure domain. */
+    domain: string;
+    callers: { host: string; port: number };
+    readiness: { host: string; port: number };
+    /** Time that the process is given to end, in milliseconds. */
+    graceMs: number;
+    /** Time for which targets are granted keys, in milliseconds. */
+    holdMs: number;
+    platform: GatewayPlatform;
+    clock: Clock;
+    loggers: (part: LogPart) => Logger;
+}
+
+/**
+ * An instance that sends each request straight to a target. It learns configs, targets and the owners of keys from the
+ * store, and assigns keys while it holds the lease for that.
+ *
+ * @example
+ * const gateway = new Gateway(options);
+ * await gateway.start();
+ * await gateway.shutDown();
+ */
+export class Gateway {
+    private readonly config: ConfigKeeper;
+    private readonly directory: TargetDirectory;
+    private readonly targets = new Map<DirectoryTarget, GatewayTarget>();
+    private readonly keyMaps = new Map<string, KeyMap>();
+    private readonly ownerWaits = new Map<string, Set<() => void>>();
+    private readonly traffic = new Map<string, KeyTraffic>();
+    private readonly retries = new Map<string, RetryBudget>();
+    private readonly split = new WeightedSplit();
+    private readonly placement: TargetPlacement;
+    private readonly followers: TableFollower[];
+    private readonly lease: AssignerLease;
+    private readonly assigners = new Map<string, KeyAssigner>();
+    private readonly server: GatewayServer;
+    private readonly services: GatewayServices;
+    private readonly disposables = new DisposableStore();
+    private readiness: ReadinessServer | undefined;
+    private isDraining = false;
+
+    constructor(private readonly options: GatewayOptions) {
+        const { clock, loggers, platform, instance } = options;
+        const platformLogger = loggers("platform");
+        this.config = new ConfigKeeper({
+            logger: loggers("bundles"),
+            onChange: lookup => {
+                this.server.setLimits(lookup.config.limits);
+                this.split.reset();
+                this.updateAssigners();
+            },
+        });
+        this.directory = new TargetDirectory({
+            clock,
+            logger: loggers("membership"),
+            onChange: target => this.targetChanged(target),
+        });
+        this.placement = new TargetPlacement({
+            lookup: () => this.config.current,
+            keyMap: service => this.keyMaps.get(service),
+            targets: service => this.directory.usable(service).map(target => this.targetOf(target)),
+            owner: (id, startedAtMs) => {
+                const listed = this.directory.get(id);
+                return listed?.usable === true && listed.entry.startedAtMs === startedAtMs
+                    ? this.targetOf(listed)
+                    : undefined;
+            },
+            random: Math.random,
+        });
+        const follow = (
+            table: string,
+            pauseMs: number,
+            replaced: (rows: StoredRow[]) => void,
+            changed: (row: StoredRow) => void,
+        ) =>
+            new TableFollower({
+                store: platform.store,
+                table,
+                clock,
+                logger: platformLogger,
+                pauseMs,
+                followed: { replaced, changed, regained: () => this.checkOutage() },
+            });
+        const { tables } = platform;
+        this.followers = [
+            follow(
+                tables.config,
+                0,
+                rows => rows.forEach(row => this.configChanged(row)),
+                row => this.configChanged(row),
+            ),
+            follow(
+                tables.targets,
+                TARGET_CHANGES_PAUSE_MS,
+                rows => this.targetsListed(rows),
+                row => this.entryChanged(row),
+            ),
+            follow(
+                ASSIGNMENT_TABLE,
+                0,
+                rows => rows.forEach(row => this.assignmentChanged(row)),
+                row => this.assignmentChanged(row),
+            ),
+        ];
+        this.lease = new AssignerLease({
+            store: platform.store,
+            instance,
+            incarnation: randomUUID(),
+            clock,
+            logger: loggers("ownership"),
+            gained: () => this.updateAssigners(),
+            lost: () => this.endAssigners(),
+        });
+        const log = new RequestLog(clock, loggers("callers"));
+        this.services = {
+            clock,
+            place: query => this.placement.place(query),
+            canPlaceAgain: (query, end) => this.placement.canPlaceAgain(query, end),
+            onOwnerChange: (service, callback) => this.onOwnerChange(service, callback),
+            takeRetry: service => this.retriesOf(service).take(),
+            targetHeaders: platform.targetHeaders,
+            factsOf: platform.factsOf,
+            addressLost: target => this.assigners.get(target.listed.entry.service)?.targetEnded(target.listed),
+            brokeWhileRunning: () => undefined,
+            ended: (request, outcome) => log.ended(request, outcome),
+        };
+        this.server = createGatewayServer({
+            handle: (call, reply) => this.handle(call, reply),
+            fieldsOf: platform.fieldsOf,
+            isReserved: platform.isReserved,
+            monotonicMs: () => clock.monotonicMs(),
+        });
+    }
+
+    /** Whether the balancer should send callers here. */
+    isReady(): boolean {
+        return (
+            !this.isDraining && this.config.current !== undefined && this.followers.every(({ isLoaded }) => isLoaded)
+        );
+    }
+
+    /** Starts to listen and to follow the store. Until a config is known, requests are refused as not run. */
+    async start(): Promise<void> {
+        const { callers, readiness, clock, loggers, domain } = this.options;
+        this.followers.forEach(follower => {
+            follower.start();
+            this.disposables.add(follower);
+        });
+        this.lease.start();
+        this.disposables.add(this.lease);
+        this.disposables.add(repeat(clock, DECAY_PERIOD_MS, () => this.traffic.forEach(traffic => traffic.decay())));
+        this.disposables.add(repeat(clock, OUTAGE_CHECK_MS, () => this.checkOutage()));
+        this.readiness = await startReadinessServer({ ...readiness, isReady: () => this.isReady() });
+        await this.server.listen(callers.port, callers.host);
+        loggers("daemon").info("Started.", { domain, callers: `${callers.host}:${callers.port}` });
+    }
+
+    /**
+     * Ends the instance: the balancer is told first, what runs is finished, and connections are closed between requests.
+     */
+    async shutDown(): Promise<void> {
+        const { clock, loggers, graceMs } = this.options;
+        const began = clock.monotonicMs();
+        this.isDraining = true;
+        loggers("daemon").info("Stopping.", { unfinished: this.server.unfinished() });
+        void this.lease.release();
+        const elapsedMs = () => clock.monotonicMs() - began;
+        while (elapsedMs() < BALANCER_NOTICE_MS || (this.server.unfinished() > 0 && elapsedMs() < graceMs)) {
+            this.server.startDraining();
+            await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
+        }
+        loggers("daemon").info("Stopped.", { unfinished: this.server.unfinished(), ms: Math.round(elapsedMs()) });
+        this.dispose();
+    }
+
+    dispose(): void {
+        this.endAssigners();
+        void this.disposables.dispose();
+        this.server.dispose();
+        this.readiness?.dispose();
+        this.targets.forEach(target => target.dispose());
+    }
+
+    private handle(call: GatewayCall, reply: GatewayReply): () => void {
+        const lookup = this.config.current;
+        if (lookup === undefined) {
+            reply.refuse(refuse("no-bundle", "No config is known yet."));
+            return () => undefined;
+        }
+        const route = lookup.find(call.host, call.url);
+        if (route === undefined) {
+            reply.refuse(refuse("unknown-route", `No route leads to ${call.host}${call.url.slice(0, 80)}.`));
+            return () => undefined;
+        }
+        const service = this.split.next(route);
+        this.retriesOf(service).request();
+        if (call.key !== undefined && lookup.service(service)?.keyed === true) {
+            this.trafficOf(service).record(call.key);
+        }
+        const request = new GatewayRequest(call, route, service, this.measured(route.name, reply), this.services);
+        request.start();
+        return () => request.callerGone();
+    }
+
+    /** Learns the size of answers on their way. */
+    private measured(route: string, reply: GatewayReply): GatewayReply {
+        return {
+            ...reply,
+            answer: (head, body) => {
+                this.placement.answered(
+                    route,
+                    body.reduce((sum, chunk) => sum + chunk.length, 0),
+                );
+                reply.answer(head, body);
+            },
+        };
+    }
+
+    private configChanged(row: StoredRow): void {
+        if (row.key === this.options.platform.tables.configKey && row.value !== undefined) {
+            this.config.take(this.options.platform.decodeConfig(row.value));
+        }
+    }
+
+    private targetsListed(rows: StoredRow[]): void {
+        const listed = new Set(rows.map(({ key }) => key));
+        for (const { entry } of [...this.directory.all()]) {
+            if (!listed.has(entry.id)) {
+                this.directory.entryGone(entry.id);
+            }
+        }
+        rows.forEach(row => this.entryChanged(row));
+    }
+
+    private entryChanged(row: StoredRow): void {
+        const entry = row.value === undefined ? undefined : this.options.platform.decodeTarget(row.key, row.value);
+        if (entry !== undefined) {
+            this.directory.put(entry);
+            return;
+        }
+        if (row.value !== undefined) {
+            this.options.loggers("platform").warn("An entry names no usable target.", { entry: row.key });
+        }
+        this.directory.entryGone(row.key);
+    }
+
+    private assignmentChanged(row: StoredRow): void {
+        if (row.value === undefined) {
+            return;
+        }
+        const parsed = keyAssignmentSchema.safeParse(parseJson(row.value.toString()));
+        if (!parsed.success) {
+            this.options.loggers("ownership").error("An assignment can't be read.", { row: row.key });
+            return;
+        }
+        const { service, fence } = parsed.data;
+        if (fence < (this.keyMaps.get(service)?.assignment.fence ?? 0)) {
+            return;
+        }
+        this.keyMaps.set(service, new KeyMap(parsed.data));
+        const waits = this.ownerWaits.get(service);
+        this.ownerWaits.delete(service);
+        waits?.forEach(callback => callback());
+    }
+
+    private onOwnerChange(service: string, callback: () => void): () => void {
+        const waits = this.ownerWaits.get(service) ?? new Set();
+        this.ownerWaits.set(service, waits.add(callback));
+        return () => waits.delete(callback);
+    }
+
+    private targetChanged(listed: DirectoryTarget): void {
+        if (listed.gone) {
+            const target = this.targets.get(listed);
+            this.targets.delete(listed);
+            // Requests that it still runs are answered before its connections are closed.
+            this.options.clock.setTimer(this.options.graceMs, () => target?.dispose());
+        }
+    }
+
+    private targetOf(listed: DirectoryTarget): GatewayTarget {
+        const known = this.targets.get(listed);
+        if (known !== undefined) {
+            return known;
+        }
+        const { clock, domain } = this.options;
+        const limit = this.config.current?.service(listed.entry.service)?.connectionLimit ?? 100;
+        const connections = Math.max(4, Math.floor((limit * CONNECTION_SHARE) / ASSUMED_INSTANCES));
+        const target = new GatewayTarget(listed, clock, listed.entry.domain === domain, connections);
+        this.targets.set(listed, target);
+        return target;
+    }
+
+    private trafficOf(service: string): KeyTraffic {
+        const traffic = this.traffic.get(service) ?? new KeyTraffic();
+        this.traffic.set(service, traffic);
+        return traffic;
+    }
+
+    private retriesOf(service: string): RetryBudget {
+        const known = this.retries.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const budget = new RetryBudget(this.options.clock, {
+            share: RETRY_SHARE,
+            minimum: MINIMUM_RETRIES,
+            idlePerSecond: IDLE_RETRIES_PER_SECOND,
+        });
+        this.retries.set(service, budget);
+        return budget;
+    }
+
+    private checkOutage(): void {
+        this.directory.setOutage(
+            this.followers.some(follower => follower.isFailing && follower.silentMs() > OUTAGE_MS),
+        );
+    }
+
+    private updateAssigners(): void {
+        const lookup = this.config.current;
+        if (!this.lease.isHeld() || lookup === undefined) {
+            return;
+        }
+        const { platform, clock, loggers, holdMs } = this.options;
+        for (const { name, keyed } of lookup.config.services) {
+            if (!keyed || this.assigners.has(name)) {
+                continue;
+            }
+            const assigner = new KeyAssigner({
+                service: name,
+                store: platform.store,
+                calls: platform.calls,
+                clock,
+                logger: loggers("ownership"),
+                lease: this.lease,
+                targets: () => [...this.directory.all()].filter(({ entry }) => entry.service === name),
+                measure: listed => this.targetOf(listed).measure(),
+                weights: () => this.trafficOf(name).weights(),
+                holdMs,
+            });
+            this.assigners.set(name, assigner);
+            void assigner.start();
+        }
+    }
+
+    private endAssigners(): void {
+        this.assigners.forEach(assigner => assigner.dispose());
+        this.assigners.clear();
+    }
+}
--- /dev/null
+++ b/src/process/gateway/gatewayTarget.ts
@@ -0,0 +1,156 @@
+import { TargetConnections } from "../../connection/targetConnections.js";
+import type { ReportedLoad } from "../../request/gatewayCall.js";
+import type { Clock } from "../clock.js";
+import type { PlacementCandidate } from "./chooseTarget.js";
+import type { DirectoryTarget } from "./targetDirectory.js";
+
+/** Weight of the newest sample in moving averages of times and failures. */
+const SAMPLE_WEIGHT = 0.12;
+/** Weight of the newest report in the smoothed load. */
+const PRESSURE_WEIGHT = 0.3;
+/** Samples for which the assumed service time counts: few samples say little about a target's speed. */
+const PRIOR_SAMPLES = 12;
+/** Service time assumed before the first answer, in milliseconds. */
+const INITIAL_SERVICE_MS = 100;
+/** Factor on the assumed time of a target that is still warming up. */
+const WARMUP_FACTOR = 2;
+/** Time after which a report of the load says nothing any more, in milliseconds. */
+const REPORT_LIFETIME_MS = 1_500;
+/** Time in which the failure share halves without new samples, in milliseconds; a target is tried again by and by. */
+const FAILURE_HALF_LIFE_MS = 2_500;
+/** Shortest and longest time for which an unanswering target is avoided, in milliseconds. */
+const FIRST_SUSPICION_MS = 400;
+const LONGEST_SUSPICION_MS = 3_000;
+
+/** This instance's view of one target: its connections, load, speed and failures. */
+export class GatewayTarget {
+    readonly connections: TargetConnections;
+    private inFlight = 0;
+    private reported: { load: ReportedLoad; at: number; ownInFlight: number } | undefined;
+    private serviceMs = INITIAL_SERVICE_MS;
+    private samples = 0;
+    private failureShare = 0;
+    private failureAt = 0;
+    /** Reported load over the slots, smoothed. */
+    private pressure = 0;
+    private lastAnswerAt = -Infinity;
+    private unanswered = 0;
+    private suspectUntil = -Infinity;
+    private readonly warmUntil: number;
+
+    constructor(
+        readonly listed: DirectoryTarget,
+        private readonly clock: Clock,
+        private readonly sameDomain: boolean,
+        connectionLimit: number,
+    ) {
+        this.connections = new TargetConnections(listed.entry.address, clock, { limit: connectionLimit });
+        this.warmUntil = clock.monotonicMs() + listed.entry.warmupLeftMs;
+    }
+
+    get id(): string {
+        return this.listed.entry.id;
+    }
+
+    /** Whether calls to the target recently went unanswered. */
+    isSuspect(): boolean {
+        return this.clock.monotonicMs() < this.suspectUntil;
+    }
+
+    started(): void {
+        this.inFlight++;
+    }
+
+    /** Counts a request that has ended, however it did. */
+    ended(): void {
+        this.inFlight--;
+    }
+
+    /** Takes over the load that an answer reports. */
+    report(load: ReportedLoad): void {
+        const pressure = (load.running + load.waiting) / Math.max(1, load.slots);
+        this.pressure += (pressure - this.pressure) * PRESSURE_WEIGHT;
+        this.reported = { load, at: this.clock.monotonicMs(), ownInFlight: this.inFlight };
+    }
+
+    /** Learns from an answer that took `durationMs` milliseconds when `loadAtStart` requests were ahead of it. */
+    answered(durationMs: number, loadAtStart: number): void {
+        const slots = Math.max(1, this.listed.entry.slots);
+        const waves = Math.max(1, (loadAtStart + 1) / slots);
+        const sample = durationMs / waves;
+        const weight = Math.max(SAMPLE_WEIGHT, 1 / (this.samples + 1));
+        this.serviceMs += (sample - this.serviceMs) * weight;
+        this.samples++;
+        this.lastAnswerAt = this.clock.monotonicMs();
+        this.unanswered = 0;
+        this.suspectUntil = -Infinity;
+        this.countFailure(0);
+    }
+
+    /** Counts a request that the target shed or failed. */
+    failed(): void {
+        this.lastAnswerAt = this.clock.monotonicMs();
+        this.unanswered = 0;
+        this.countFailure(1);
+    }
+
+    /**
+     * Counts a connection that failed, or a request without an answer. The target is avoided for a while, unless it has
+     * answered others since `startedAt`: then it is slow, or one answer was lost.
+     */
+    unansweredCall(startedAt: number): void {
+        this.countFailure(1);
+        if (this.lastAnswerAt > startedAt) {
+            return;
+        }
+        this.unanswered++;
+        const durationMs = Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** (this.unanswered - 1));
+        this.suspectUntil = this.clock.monotonicMs() + durationMs;
+    }
+
+    /** Requests that the target has running or waiting, as far as this instance knows. */
+    load(): number {
+        const { reported } = this;
+        if (reported === undefined || this.clock.monotonicMs() - reported.at > REPORT_LIFETIME_MS) {
+            return this.inFlight;
+        }
+        const others = Math.max(0, reported.load.running + reported.load.waiting - reported.ownInFlight);
+        return others + this.inFlight;
+    }
+
+    /** Requests a second that it can serve and how much of that is used, for the division of keys. */
+    measure(): { capacity: number; pressure: number } {
+        const { slots } = this.listed.entry;
+        const known = this.samples + PRIOR_SAMPLES;
+        const serviceMs = (this.serviceMs * this.samples + INITIAL_SERVICE_MS * PRIOR_SAMPLES) / known;
+        return { capacity: slots / serviceMs, pressure: Math.max(this.pressure, this.inFlight / slots) };
+    }
+
+    /** What the choice among targets needs to know. */
+    candidate(): PlacementCandidate & { target: GatewayTarget } {
+        const isWarm = this.clock.monotonicMs() >= this.warmUntil;
+        return {
+            target: this,
+            load: this.load(),
+            slots: this.listed.entry.slots,
+            serviceMs: this.serviceMs * (isWarm || this.samples > 0 ? 1 : WARMUP_FACTOR),
+            failureShare: this.currentFailureShare(),
+            sameDomain: this.sameDomain,
+            suspect: this.isSuspect(),
+        };
+    }
+
+    dispose(): void {
+        this.connections.dispose();
+    }
+
+    private currentFailureShare(): number {
+        return this.failureShare * 2 ** (-(this.clock.monotonicMs() - this.failureAt) / FAILURE_HALF_LIFE_MS);
+    }
+
+    private countFailure(sample: 0 | 1): void {
+        const share = this.currentFailureShare();
+        this.failureShare = share + (sample - share) * SAMPLE_WEIGHT;
+        this.failureAt = this.clock.monotonicMs();
+    }
+}
--- /dev/null
+++ b/src/process/gateway/grantRecord.ts
@@ -0,0 +1,48 @@
+/** Time for which keys are granted, in milliseconds. Long, so that owners outlive cuts and outages of the store. */
+export const DEFAULT_HOLD_MS = 10_000;
+/** How much slower than ours a target's clock may run. */
+const TARGET_CLOCK_DRIFT = 0.02;
+/** Allowance for a grant that is on its way when the wait for it starts, in milliseconds. */
+const TRANSFER_MS = 400;
+
+/**
+ * When the last grant to one target ends at the latest. Its time counts from the arrival of the call, so an unanswered
+ * one counts from the end of the wait for its answer.
+ *
+ * @example
+ * record.answered(clock.monotonicMs());
+ * record.endsAt(); // monotonic milliseconds
+ */
+export class GrantRecord {
+    private lastArrivalAt: number;
+    private lastAnswerAt = -Infinity;
+
+    /** @param since monotonic time in milliseconds until which another instance may have granted keys */
+    constructor(
+        since: number,
+        private readonly holdMs: number,
+    ) {
+        this.lastArrivalAt = since;
+    }
+
+    /** A grant was answered, so it has arrived by now. */
+    answered(now: number): void {
+        this.lastArrivalAt = Math.max(this.lastArrivalAt, now);
+        this.lastAnswerAt = now;
+    }
+
+    /** A grant got no answer until now. */
+    unanswered(now: number): void {
+        this.lastArrivalAt = Math.max(this.lastArrivalAt, now + TRANSFER_MS);
+    }
+
+    /** Monotonic time in milliseconds at which the target has no grant any more. */
+    endsAt(): number {
+        return this.lastArrivalAt + this.holdMs * (1 + TARGET_CLOCK_DRIFT) + TRANSFER_MS;
+    }
+
+    /** Monotonic time in milliseconds of the last answer; `-Infinity` without one. */
+    answeredAt(): number {
+        return this.lastAnswerAt;
+    }
+}
--- /dev/null
+++ b/src/process/gateway/keyMap.ts
@@ -0,0 +1,113 @@
+import { z } from "zod";
+
+/** Number of keys; a key is a whole number below it. */
+export const KEY_COUNT = 65_536;
+
+/** A range of keys, both ends included, with its owner. */
+const keyRangeSchema = z.object({
+    from: z
+        .number()
+        .int()
+        .min(0)
+        .max(KEY_COUNT - 1),
+    to: z
+        .number()
+        .int()
+        .min(0)
+        .max(KEY_COUNT - 1),
+    /** Identifier of the target, or "" when nobody owns the keys. */
+    target: z.string(),
+    /** Start of the owner's process in Unix milliseconds; a restarted target owns nothing. */
+    startedAtMs: z.number().int(),
+    /** Fencing token under which the owner got the keys. */
+    fence: z.number().int().min(0),
+    /** State that the former owner handed over, until the owner has been granted the keys. */
+    handover: z.string().optional(),
+});
+export type KeyRange = z.infer<typeof keyRangeSchema>;
+
+/** Owners of all keys of a service, as kept in the store. */
+export const keyAssignmentSchema = z.object({
+    service: z.string(),
+    /** Highest fencing token that was ever assigned; the next one is above it. */
+    fence: z.number().int().min(0),
+    /** In the order of keys, without gaps. */
+    ranges: z.array(keyRangeSchema).min(1),
+});
+export type KeyAssignment = z.infer<typeof keyAssignmentSchema>;
+
+/**
+ * Looks up owners of keys.
+ *
+ * @example
+ * new KeyMap(assignment).rangeOf(4711)?.target; // "stock-7"
+ */
+export class KeyMap {
+    private readonly ends: number[];
+
+    constructor(readonly assignment: KeyAssignment) {
+        this.ends = assignment.ranges.map(({ to }) => to);
+    }
+
+    /** The range of a key, or `undefined` when nobody owns it. */
+    rangeOf(key: number): KeyRange | undefined {
+        let low = 0;
+        let high = this.ends.length - 1;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if (this.ends[middle] < key) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        const range = this.assignment.ranges[low];
+        return range.target === "" ? undefined : range;
+    }
+}
+
+/** Whether two ranges can be one. */
+const canMerge = (first: KeyRange, second: KeyRange): boolean =>
+    first.target === second.target &&
+    first.startedAtMs === second.startedAtMs &&
+    first.fence === second.fence &&
+    first.handover === second.handover;
+
+/**
+ * Gives a range of keys to another owner and returns the new list of ranges.
+ *
+ * @example
+ * const ranges = replaceRange(assignment.ranges, { from: 0, to: 99, target: "stock-2", startedAtMs, fence: 12 });
+ */
+export const replaceRange = (ranges: readonly KeyRange[], replacement: KeyRange): KeyRange[] => {
+    const pieces: KeyRange[] = [];
+    for (const range of ranges) {
+        if (range.to < replacement.from || range.from > replacement.to) {
+            pieces.push(range);
+            continue;
+        }
+        if (range.from < replacement.from) {
+            pieces.push({ ...range, to: replacement.from - 1 });
+        }
+        if (range.to > replacement.to) {
+            pieces.push({ ...range, from: replacement.to + 1 });
+        }
+    }
+    const sorted = [...pieces, replacement].sort((a, b) => a.from - b.from);
+    return sorted.reduce<KeyRange[]>((merged, range) => {
+        const last = merged.at(-1);
+        if (last !== undefined && canMerge(last, range)) {
+            merged[merged.length - 1] = { ...last, to: range.to };
+        } else {
+            merged.push(range);
+        }
+        return merged;
+    }, []);
+};
+
+/** An assignment in which nobody owns any key. */
+export const emptyAssignment = (service: string): KeyAssignment => ({
+    service,
+    fence: 0,
+    ranges: [{ from: 0, to: KEY_COUNT - 1, target: "", startedAtMs: 0, fence: 0 }],
+});
--- /dev/null
+++ b/src/process/gateway/ownershipCalls.ts
@@ -0,0 +1,34 @@
+/** Keys that a target is to own, or to own no longer. Both ends are included. */
+export interface GrantedKeys {
+    from: number;
+    to: number;
+    /** Fencing token. */
+    fence: number;
+}
+
+/** Why a call to a target gave no result. */
+export type CallFailure =
+    /** No process listens at the address. */
+    | { type: "refused" }
+    /** Another target listens at the address. */
+    | { type: "other-target" }
+    /** The call may have arrived, and may take effect later. */
+    | { type: "unanswered"; detail: string };
+
+/** What a target says to a grant. */
+export type GrantReply = { type: "granted" } | { type: "outdated" } | { type: "invalid"; status: number } | CallFailure;
+
+/** What a target says to a release. `handover` names the state that the next owner can take over. */
+export type ReleaseReply = { type: "released"; handover: string | undefined } | CallFailure;
+
+/** Calls by which targets are told what they own. */
+export interface OwnershipCalls {
+    /** Grants or renews keys for `holdMs` milliseconds from the arrival of the call. */
+    grant(
+        address: string,
+        grant: GrantedKeys & { holdMs: number; handover: string | undefined },
+        timeoutMs: number,
+    ): Promise<GrantReply>;
+    /** Ends the ownership; the target answers when work on these keys has ended. */
+    release(address: string, keys: GrantedKeys, timeoutMs: number): Promise<ReleaseReply>;
+}
--- /dev/null
+++ b/src/process/gateway/planMoves.ts
@@ -0,0 +1,260 @@
+import { KEY_COUNT, type KeyRange } from "./keyMap.js";
+
+/** A target as the planner sees it. */
+export interface PlannedTarget {
+    id: string;
+    startedAtMs: number;
+    /** Requests a second that it can serve relative to the others; from its slots and measured speed. */
+    capacity: number;
+    /** Requests running or waiting over its slots, as last reported. */
+    pressure: number;
+    /** Whether it may be given keys. Targets that leave may not, but still hold theirs. */
+    receives: boolean;
+    /** Whether its keys may be taken from it for balance; a target that doesn't answer can't release them. */
+    releases: boolean;
+}
+
+/** Keys that are to change their owner. `source` is `undefined` for keys without an owner. */
+export interface KeyMove {
+    from: number;
+    to: number;
+    source: string | undefined;
+    target: string;
+}
+
+/** Load of a target over its fair share above which keys are moved away from it. */
+export const OVERLOAD_RATIO = 1.2;
+/** Load over its fair share at which a target isn't given more keys. */
+const FULL_RATIO = 1.05;
+/** Pressure from which requests wait, so that uneven load costs callers time. Below it, moves would cost more than they gain. */
+export const HIGH_PRESSURE = 0.9;
+/** Load over its fair share below which a new target is given keys from the others. */
+const IDLE_RATIO = 0.3;
+/** Load over its fair share up to which a new target is filled. */
+const FILL_RATIO = 0.8;
+/** Share of an owner's load that one move to a new target takes at most. */
+const FILL_SHARE = 0.4;
+/** Most moves for balance at a time: each makes its keys wait for the former owner's running work. */
+const MAX_BALANCE_MOVES = 6;
+/** Least share of all load that a move for balance must carry; less isn't worth the wait. */
+const MIN_MOVED_SHARE = 0.004;
+
+interface Holding {
+    target: PlannedTarget;
+    load: number;
+    fairLoad: number;
+}
+
+/** Cumulative load of keys, so that the load of a range is one subtraction. */
+export class KeyLoads {
+    private readonly cumulative = new Float64Array(KEY_COUNT + 1);
+
+    /** @param weights load of each key in any unit; all keys count alike when all are 0 */
+    constructor(weights: ArrayLike<number>) {
+        for (let key = 0; key < KEY_COUNT; key++) {
+            this.cumulative[key + 1] = this.cumulative[key] + weights[key];
+        }
+    }
+
+    get total(): number {
+        return this.cumulative[KEY_COUNT];
+    }
+
+    /** Load of the keys from `from` to `to`, both included. */
+    of(from: number, to: number): number {
+        return this.cumulative[to + 1] - this.cumulative[from];
+    }
+
+    /** The last key up to which the load from `from` on stays at or below `load`; at least `from`. */
+    lastKeyWithin(from: number, to: number, load: number): number {
+        let low = from;
+        let high = to;
+        while (low < high) {
+            const middle = (low + high + 1) >> 1;
+            if (this.of(from, middle) <= load) {
+                low = middle;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return low;
+    }
+}
+
+const leastLoaded = (holdings: readonly Holding[]): Holding | undefined =>
+    holdings
+        .filter(({ target }) => target.receives)
+        .reduce<Holding | undefined>(
+            (best, holding) =>
+                best === undefined || holding.load / holding.fairLoad < best.load / best.fairLoad ? holding : best,
+            undefined,
+        );
+
+/** Splits keys that need a new owner into pieces that fill the least loaded targets first. */
+const placeRange = (
+    range: KeyRange,
+    source: string | undefined,
+    holdings: readonly Holding[],
+    loads: KeyLoads,
+): KeyMove[] => {
+    const moves: KeyMove[] = [];
+    for (let from = range.from; from <= range.to;) {
+        const receiver = leastLoaded(holdings);
+        if (receiver === undefined) {
+            return moves;
+        }
+        const room = Math.max(receiver.fairLoad - receiver.load, receiver.fairLoad / 4);
+        const to = loads.lastKeyWithin(from, range.to, room);
+        receiver.load += loads.of(from, to);
+        moves.push({ from, to, source, target: receiver.target.id });
+        from = to + 1;
+    }
+    return moves;
+};
+
+/** The piece of an overloaded target's keys that carries about `excess` load. */
+const excessPiece = (
+    ranges: readonly KeyRange[],
+    holding: Holding,
+    excess: number,
+    loads: KeyLoads,
+): { from: number; to: number } | undefined => {
+    const largest = ranges
+        .filter(({ target }) => target === holding.target.id)
+        .reduce<KeyRange | undefined>(
+            (best, range) =>
+                best === undefined || loads.of(range.from, range.to) > loads.of(best.from, best.to) ? range : best,
+            undefined,
+        );
+    if (largest === undefined) {
+        return undefined;
+    }
+    const to = loads.lastKeyWithin(largest.from, largest.to, excess);
+    return to === largest.to && ranges.filter(({ target }) => target === holding.target.id).length === 1
+        ? { from: largest.from, to: Math.max(largest.from, to - 1) }
+        : { from: largest.from, to };
+};
+
+/** Gives targets that have joined a share of the keys of those with the highest load. */
+const fillNew = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+    const moves: KeyMove[] = [];
+    const sources = holdings
+        .filter(({ target, load, fairLoad }) => target.releases && load > fairLoad * FILL_RATIO)
+        .sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
+    for (const holding of holdings) {
+        const { target, fairLoad } = holding;
+        if (!target.receives || holding.load >= fairLoad * IDLE_RATIO) {
+            continue;
+        }
+        while (holding.load < fairLoad * FILL_RATIO && moves.length < MAX_BALANCE_MOVES) {
+            const source = sources.shift();
+            if (source === undefined) {
+                return moves;
+            }
+            const wanted = Math.min(source.load * FILL_SHARE, fairLoad * FILL_RATIO - holding.load);
+            moves.push(...movePiece(ranges, source, holding, wanted, loads));
+        }
+    }
+    return moves;
+};
+
+/** Takes keys from targets at which requests wait and that have more than their share. */
+const relieve = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+    const moves: KeyMove[] = [];
+    const receivers = new Set(holdings.filter(({ target }) => target.receives && target.pressure < HIGH_PRESSURE));
+    const overloaded = holdings
+        .filter(
+            ({ target, load, fairLoad }) =>
+                target.receives &&
+                target.releases &&
+                target.pressure >= HIGH_PRESSURE &&
+                load > fairLoad * OVERLOAD_RATIO,
+        )
+        .sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
+    for (const holding of overloaded) {
+        const receiver = leastLoaded([...receivers]);
+        if (receiver === undefined || receiver.load > receiver.fairLoad * FULL_RATIO) {
+            break;
+        }
+        const wanted = Math.min(holding.load - holding.fairLoad, receiver.fairLoad * FULL_RATIO - receiver.load);
+        moves.push(...movePiece(ranges, holding, receiver, wanted, loads));
+        receivers.delete(receiver);
+    }
+    return moves;
+};
+
+/** Moves about `wanted` load from one target to another, if that lowers the higher load of the two. */
+const movePiece = (
+    ranges: readonly KeyRange[],
+    source: Holding,
+    receiver: Holding,
+    wanted: number,
+    loads: KeyLoads,
+): KeyMove[] => {
+    const piece = excessPiece(ranges, source, wanted, loads);
+    if (piece === undefined) {
+        return [];
+    }
+    const moved = loads.of(piece.from, piece.to);
+    const isBetter =
+        Math.max((receiver.load + moved) / receiver.fairLoad, (source.load - moved) / source.fairLoad) <
+        source.load / source.fairLoad;
+    if (moved < loads.total * MIN_MOVED_SHARE || !isBetter) {
+        return [];
+    }
+    source.load -= moved;
+    receiver.load += moved;
+    return [{ ...piece, source: source.target.id, target: receiver.target.id }];
+};
+
+/**
+ * Decides which keys get another owner: all keys that have none, all keys of targets that leave, a share for targets that
+ * have joined, and, where requests wait for a target whose load is above its share, the piece of its keys that is too
+ * much. It answers two patterns: targets that come and go, and busy keys that overload their owner.
+ *
+ * @example
+ * const moves = planMoves({ ranges, targets, loads: new KeyLoads(weights), balance: true });
+ */
+export const planMoves = (input: {
+    ranges: readonly KeyRange[];
+    targets: readonly PlannedTarget[];
+    loads: KeyLoads;
+    /** Whether keys may also be moved for balance alone. */
+    balance: boolean;
+}): KeyMove[] => {
+    const { ranges, targets, loads, balance } = input;
+    const receivers = targets.filter(({ receives }) => receives);
+    const capacity = receivers.reduce((sum, target) => sum + target.capacity, 0);
+    if (capacity === 0) {
+        return [];
+    }
+    const holdings = targets.map(target => ({
+        target,
+        load: 0,
+        fairLoad: target.receives ? (loads.total * target.capacity) / capacity : 0,
+    }));
+    const byTarget = new Map(holdings.map(holding => [holding.target.id, holding]));
+    const ownerOf = (range: KeyRange): Holding | undefined => {
+        const holding = byTarget.get(range.target);
+        return holding?.target.startedAtMs === range.startedAtMs ? holding : undefined;
+    };
+    ranges.forEach(range => {
+        const holding = ownerOf(range);
+        if (holding !== undefined) {
+            holding.load += loads.of(range.from, range.to);
+        }
+    });
+    const moves: KeyMove[] = [];
+    for (const range of ranges) {
+        const holding = ownerOf(range);
+        if (holding === undefined) {
+            moves.push(...placeRange(range, range.target === "" ? undefined : range.target, holdings, loads));
+        } else if (!holding.target.receives) {
+            moves.push(...placeRange(range, range.target, holdings, loads));
+        }
+    }
+    if (!balance || moves.length > 0) {
+        return moves;
+    }
+    return [...fillNew(ranges, holdings, loads), ...relieve(ranges, holdings, loads)].slice(0, MAX_BALANCE_MOVES);
+};
--- /dev/null
+++ b/src/process/gateway/rowStore.ts
@@ -0,0 +1,47 @@
+import type { Result } from "neverthrow";
+import type { PlatformError } from "../platformError.js";
+
+/** A row of the store. `value` is `undefined` for a row that was dropped. */
+export interface StoredRow {
+    key: string;
+    value: Buffer | undefined;
+    version: number;
+}
+
+/** All rows of a table at one moment. */
+export interface TableSnapshot {
+    rows: StoredRow[];
+    /** Version of the store at that moment. */
+    version: number;
+}
+
+/** Rows that changed after a version, in order. */
+export type TableChanges =
+    | { type: "changes"; rows: StoredRow[]; version: number }
+    /** The store no longer has the history; read a snapshot. */
+    | { type: "history-lost" };
+
+/** A row named by a transaction. */
+export interface RowName {
+    table: string;
+    key: string;
+}
+
+/** A change of rows that is applied as a whole, if every expected version holds. */
+export interface RowTransaction {
+    /** Version 0 means that the row doesn't exist. */
+    expected: (RowName & { version: number })[];
+    puts: (RowName & { value: Buffer })[];
+    deletes?: RowName[];
+}
+
+export type TransactionOutcome = { type: "committed"; version: number } | { type: "conflict" };
+
+/** The platform's table service, as the product uses it. */
+export interface RowStore {
+    snapshot(table: string): Promise<Result<TableSnapshot, PlatformError>>;
+    row(table: string, key: string): Promise<Result<StoredRow | undefined, PlatformError>>;
+    /** Waits up to `waitMs` milliseconds for a change after `after`. */
+    changes(table: string, after: number, waitMs: number): Promise<Result<TableChanges, PlatformError>>;
+    transact(transaction: RowTransaction): Promise<Result<TransactionOutcome, PlatformError>>;
+}
--- /dev/null
+++ b/src/process/gateway/tableFollower.ts
@@ -0,0 +1,168 @@
+import type { Clock } from "../clock.js";
+import type { Logger } from "../logger.js";
+import type { PlatformError } from "../platformError.js";
+import type { RowStore, StoredRow } from "./rowStore.js";
+
+/** Time for which the store holds a call for changes, in milliseconds. Bounds how long a silent connection goes unnoticed. */
+const CHANGES_WAIT_MS = 4_000;
+/** First pause after a failed call, in milliseconds; it doubles up to the longest, so that an outage isn't met with a flood. */
+const FIRST_PAUSE_MS = 60;
+const LONGEST_PAUSE_MS = 500;
+
+/** How a call ended. */
+type FollowerStep = "changed" | "quiet" | "failed" | "history-lost";
+
+/** What a follower tells its owner. */
+export interface FollowedTable {
+    /** All rows; rows that aren't listed don't exist. */
+    replaced(rows: StoredRow[]): void;
+    changed(row: StoredRow): void;
+    /** The store has answered again after `silentMs` milliseconds without an answer. */
+    regained(silentMs: number): void;
+}
+
+/**
+ * Follows one table of the store: a snapshot first, then its changes. Rows older than what is known are ignored, so the
+ * view never goes back.
+ *
+ * @example
+ * const follower = new TableFollower({ store, table: "op", clock, logger, pauseMs: 0, followed });
+ * follower.start();
+ */
+export class TableFollower {
+    private position: number | undefined;
+    private readonly versions = new Map<string, number>();
+    private disposed = false;
+    private failures = 0;
+    private lastAnswerAt: number;
+    private wake: () => void = () => undefined;
+
+    constructor(
+        private readonly options: {
+            store: RowStore;
+            table: string;
+            clock: Clock;
+            logger: Logger;
+            /** Pause after changes, in milliseconds: changes that come together then cost one call. */
+            pauseMs: number;
+            followed: FollowedTable;
+        },
+    ) {
+        this.lastAnswerAt = options.clock.monotonicMs();
+    }
+
+    /** Whether a snapshot has been read. */
+    get isLoaded(): boolean {
+        return this.position !== undefined;
+    }
+
+    /** Whether the last call failed. */
+    get isFailing(): boolean {
+        return this.failures > 0;
+    }
+
+    /** Milliseconds since the store last answered a call of this follower. */
+    silentMs(): number {
+        return this.options.clock.monotonicMs() - this.lastAnswerAt;
+    }
+
+    start(): void {
+        void this.run();
+    }
+
+    dispose(): void {
+        this.disposed = true;
+        this.wake();
+    }
+
+    private async run(): Promise<void> {
+        let listing = true;
+        while (!this.disposed) {
+            const isListing: boolean = listing || this.position === undefined;
+            const step: FollowerStep = isListing ? await this.list() : await this.follow();
+            listing = step === "history-lost" || (isListing && step === "failed");
+            const pauseMs = step === "failed" ? this.failurePauseMs() : step === "changed" ? this.options.pauseMs : 0;
+            if (pauseMs > 0) {
+                await this.pause(pauseMs);
+            }
+        }
+    }
+
+    private async list(): Promise<"changed" | "failed"> {
+        const { store, table, followed } = this.options;
+        const snapshot = await store.snapshot(table);
+        if (snapshot.isErr()) {
+            return this.failed(snapshot.error);
+        }
+        this.answered();
+        const { rows, version } = snapshot.value;
+        if (this.position !== undefined && version < this.position) {
+            return this.failed({ type: "platform-protocol", detail: `snapshot at ${version} is stale` });
+        }
+        this.position = version;
+        const fresh = rows.filter(row => row.version >= (this.versions.get(row.key) ?? 0));
+        this.versions.clear();
+        fresh.forEach(row => this.versions.set(row.key, row.version));
+        followed.replaced(fresh);
+        return "changed";
+    }
+
+    private async follow(): Promise<FollowerStep> {
+        const { store, table, followed, logger } = this.options;
+        const changes = await store.changes(table, this.position ?? 0, CHANGES_WAIT_MS);
+        if (changes.isErr()) {
+            return this.failed(changes.error);
+        }
+        this.answered();
+        if (changes.value.type === "history-lost") {
+            logger.info("The store has dropped its history; reading the table anew.", { table });
+            return "history-lost";
+        }
+        const { rows, version } = changes.value;
+        for (const row of rows) {
+            if (row.version > (this.versions.get(row.key) ?? 0)) {
+                this.versions.set(row.key, row.version);
+                followed.changed(row);
+            }
+        }
+        this.position = Math.max(this.position ?? 0, version);
+        return rows.length > 0 ? "changed" : "quiet";
+    }
+
+    private answered(): void {
+        const silentMs = this.silentMs();
+        this.lastAnswerAt = this.options.clock.monotonicMs();
+        if (this.failures > 0) {
+            this.options.logger.info("The store answers again.", {
+                table: this.options.table,
+                failures: this.failures,
+                silentMs: Math.round(silentMs),
+            });
+            this.failures = 0;
+            this.options.followed.regained(silentMs);
+        }
+    }
+
+    private failed(error: PlatformError): "failed" {
+        if (this.failures === 0) {
+            const { table, logger } = this.options;
+            logger.warn("The store doesn't answer.", { table, cause: error.type, detail: error.detail });
+        }
+        this.failures++;
+        return "failed";
+    }
+
+    private failurePauseMs(): number {
+        return Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.failures - 1, 10));
+    }
+
+    private pause(durationMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const cancel = this.options.clock.setTimer(durationMs, resolve);
+            this.wake = () => {
+                cancel();
+                resolve();
+            };
+        });
+    }
+}
--- /dev/null
+++ b/src/process/gateway/targetDirectory.ts
@@ -0,0 +1,152 @@
+import type { Clock } from "../clock.js";
+import type { Logger } from "../logger.js";
+import type { TargetEntry } from "./targetEntry.js";
+
+/**
+ * Time after an outage of the store in which entries that lapsed meanwhile may come back, in milliseconds. Below the time
+ * in which a target that has left must be out of use.
+ */
+const RETURN_GRACE_MS = 1_700;
+
+/** A target as the directory knows it. */
+export interface DirectoryTarget {
+    entry: TargetEntry;
+    /** Whether new requests may be sent to it. */
+    usable: boolean;
+    /** Whether its entry has gone or another process has its address; it may go on running for a while. */
+    gone: boolean;
+    /** Monotonic time in milliseconds at which its entry was first seen. */
+    seenAt: number;
+}
+
+/**
+ * The targets that have registered, by their identifiers.
+ *
+ * @example
+ * const directory = new TargetDirectory({ clock, logger, onChange });
+ * directory.put(entry);
+ * directory.usable("stock"); // [{ entry, usable: true, ... }]
+ */
+export class TargetDirectory {
+    private readonly targets = new Map<string, DirectoryTarget>();
+    private readonly byService = new Map<string, Set<DirectoryTarget>>();
+    private outageEndedAt = -Infinity;
+    private outage = false;
+
+    constructor(
+        private readonly options: {
+            clock: Clock;
+            logger: Logger;
+            /** Called after a target has become usable or unusable. */
+            onChange: (target: DirectoryTarget) => void;
+        },
+    ) {}
+
+    /** All targets that are known, those that are leaving included. */
+    all(): Iterable<DirectoryTarget> {
+        return this.targets.values();
+    }
+
+    get(id: string): DirectoryTarget | undefined {
+        return this.targets.get(id);
+    }
+
+    /** Targets of a service that take new requests. */
+    usable(service: string): DirectoryTarget[] {
+        return [...(this.byService.get(service) ?? [])].filter(({ usable }) => usable);
+    }
+
+    /** States whether calls to the store fail; entries that lapse meanwhile aren't gone at once. */
+    setOutage(outage: boolean): void {
+        if (this.outage && !outage) {
+            this.outageEndedAt = this.options.clock.monotonicMs();
+        }
+        this.outage = outage;
+    }
+
+    /** Adds an entry or takes over its changes. */
+    put(entry: TargetEntry): void {
+        const known = this.targets.get(entry.id);
+        if (known !== undefined && known.entry.startedAtMs !== entry.startedAtMs) {
+            this.remove(entry.id);
+        }
+        const target = this.targets.get(entry.id) ?? this.add(entry);
+        const wasUsable = target.usable;
+        target.entry = entry;
+        target.usable = !entry.draining && !target.gone;
+        this.endOthersAt(target);
+        if (known === undefined || wasUsable !== target.usable) {
+            this.options.logger.info("Target has changed.", {
+                target: entry.id,
+                service: entry.service,
+                draining: entry.draining,
+                address: entry.address,
+            });
+            this.options.onChange(target);
+        }
+    }
+
+    /** Handles an entry that the store doesn't have any more. */
+    entryGone(id: string): void {
+        const target = this.targets.get(id);
+        if (target === undefined) {
+            return;
+        }
+        const graceMs = this.outageEndedAt + RETURN_GRACE_MS - this.options.clock.monotonicMs();
+        if (target.usable && (this.outage || graceMs > 0)) {
+            this.options.clock.setTimer(Math.max(graceMs, RETURN_GRACE_MS), () => this.removeUnlessBack(target));
+            this.missing.add(target);
+            return;
+        }
+        this.remove(id);
+    }
+
+    /** Entries that went missing around an outage, until they return or the grace has passed. */
+    private readonly missing = new Set<DirectoryTarget>();
+
+    private removeUnlessBack(target: DirectoryTarget): void {
+        if (this.missing.delete(target) && this.targets.get(target.entry.id) === target) {
+            this.remove(target.entry.id);
+        }
+    }
+
+    private remove(id: string): void {
+        const target = this.targets.get(id);
+        if (target !== undefined) {
+            this.end(target, "its entry has gone");
+        }
+    }
+
+    private add(entry: TargetEntry): DirectoryTarget {
+        const seenAt = this.options.clock.monotonicMs();
+        const target: DirectoryTarget = { entry, usable: false, gone: false, seenAt };
+        this.targets.set(entry.id, target);
+        const siblings = this.byService.get(entry.service) ?? new Set();
+        this.byService.set(entry.service, siblings.add(target));
+        return target;
+    }
+
+    /** Targets whose address another one has got have ended, whatever their entries say. */
+    private endOthersAt(target: DirectoryTarget): void {
+        this.missing.delete(target);
+        for (const other of this.targets.values()) {
+            if (other !== target && other.entry.address === target.entry.address) {
+                const newer = other.entry.startedAtMs > target.entry.startedAtMs ? other : target;
+                this.end(newer === target ? other : target, "its address has another target");
+                return;
+            }
+        }
+    }
+
+    private end(target: DirectoryTarget, cause: string): void {
+        const { id, service, address } = target.entry;
+        target.usable = false;
+        target.gone = true;
+        if (this.targets.get(id) === target) {
+            this.targets.delete(id);
+        }
+        this.byService.get(service)?.delete(target);
+        this.options.logger.info("Target has left.", { target: id, service, address, cause });
+        this.options.onChange(target);
+    }
+}
--- /dev/null
+++ b/src/process/gateway/targetPlacement.ts
@@ -0,0 +1,118 @@
+import type { AttemptEnd } from "../../request/decideAfterAttempt.js";
+import type { Placement, PlacementQuery } from "../../request/gatewayRequest.js";
+import { refuse } from "../../request/refusal.js";
+import type { RouteLookup } from "../../version/routeLookup.js";
+import { chooseTarget, expectedMs } from "./chooseTarget.js";
+import type { GatewayTarget } from "./gatewayTarget.js";
+import type { KeyMap } from "./keyMap.js";
+
+/** Pause for callers whose key has no owner, in seconds; owners are found within a few tenths of a second. */
+const NO_OWNER_PAUSE_S = 0.35;
+/** Pause for callers when all targets are full, in seconds. */
+const FULL_PAUSE_S = 0.25;
+/** Size of an answer assumed before one was seen, in kilobytes. */
+const INITIAL_ANSWER_KB = 2;
+const INITIAL_BULK_ANSWER_KB = 64;
+/** Weight of the newest answer in the mean size. */
+const SIZE_WEIGHT = 0.05;
+
+/** Spreads a pause, so that callers who were refused together don't return together. */
+const spread = (seconds: number): number => seconds * (0.6 + 0.8 * Math.random());
+
+/** Where requests go, by what this instance knows now. */
+export class TargetPlacement {
+    private readonly answerKb = new Map<string, number>();
+
+    constructor(
+        private readonly view: {
+            lookup: () => RouteLookup | undefined;
+            keyMap: (service: string) => KeyMap | undefined;
+            /** Usable targets of a service. */
+            targets: (service: string) => GatewayTarget[];
+            /** The usable target with this identifier and start, if there is one. */
+            owner: (id: string, startedAtMs: number) => GatewayTarget | undefined;
+            random: () => number;
+        },
+    ) {}
+
+    /** Learns the size of a route's answers. */
+    answered(route: string, bytes: number): void {
+        const known = this.answerKb.get(route);
+        const kilobytes = bytes / 1_000;
+        this.answerKb.set(route, known === undefined ? kilobytes : known + (kilobytes - known) * SIZE_WEIGHT);
+    }
+
+    place(query: PlacementQuery): Placement {
+        return this.isKeyed(query.service) ? this.placeAtOwner(query) : this.placeAnywhere(query);
+    }
+
+    /** Whether a further attempt has a target. A full owner of a key can't be replaced by another target. */
+    canPlaceAgain(query: PlacementQuery, end: AttemptEnd | "silent"): boolean {
+        if (!this.isKeyed(query.service)) {
+            return this.view.targets(query.service).some(target => !query.tried.has(target));
+        }
+        const owner = this.ownerOf(query);
+        switch (end) {
+            case "not-run":
+                return owner === undefined || query.disowned.has(owner) || !query.tried.has(owner);
+            case "not-sent":
+                return owner !== undefined && !query.tried.has(owner);
+            case "silent":
+                // Only the owner can run it, and it may be doing so.
+                return false;
+            case "lost":
+            case "failed":
+                return owner !== undefined && !owner.isSuspect();
+        }
+    }
+
+    private isKeyed(service: string): boolean {
+        return this.view.lookup()?.service(service)?.keyed === true;
+    }
+
+    private ownerOf({ call, service }: PlacementQuery): GatewayTarget | undefined {
+        const range = this.view.keyMap(service)?.rangeOf(call.key ?? 0);
+        return range === undefined ? undefined : this.view.owner(range.target, range.startedAtMs);
+    }
+
+    private placeAtOwner(query: PlacementQuery): Placement {
+        const owner = this.ownerOf(query);
+        if (owner === undefined) {
+            return query.disowned.size > 0
+                ? { type: "wait" }
+                : this.refusal("no-owner", "The key has no owner at present.", NO_OWNER_PAUSE_S);
+        }
+        if (query.disowned.has(owner)) {
+            return { type: "wait" };
+        }
+        if (owner.isSuspect()) {
+            return this.refusal("owner-unreachable", `Owner ${owner.id} doesn't answer.`, NO_OWNER_PAUSE_S);
+        }
+        return this.unlessFull(owner, query);
+    }
+
+    private placeAnywhere(query: PlacementQuery): Placement {
+        const { route, service, tried } = query;
+        const candidates = this.view
+            .targets(service)
+            .filter(target => !tried.has(target))
+            .map(target => target.candidate());
+        const answerKb = this.answerKb.get(route.name) ?? (route.bulk ? INITIAL_BULK_ANSWER_KB : INITIAL_ANSWER_KB);
+        const chosen = chooseTarget(candidates, answerKb, this.view.random);
+        return chosen === undefined
+            ? this.refusal("owner-unreachable", `Service ${service} has no further target.`, NO_OWNER_PAUSE_S)
+            : this.unlessFull(chosen.target, query);
+    }
+
+    /** A request that would be answered too late is refused now, so that its caller can come back in time. */
+    private unlessFull(target: GatewayTarget, { leftMs }: PlacementQuery): Placement {
+        const neededMs = expectedMs(target.candidate());
+        return neededMs > leftMs
+            ? this.refusal("overloaded", `Target ${target.id} needs about ${Math.round(neededMs)} ms.`, FULL_PAUSE_S)
+            : { type: "target", target };
+    }
+
+    private refusal(kind: "no-owner" | "owner-unreachable" | "overloaded", text: string, pauseS: number): Placement {
+        return { type: "refuse", refusal: refuse(kind, text, spread(pauseS)) };
+    }
+}
--- a/src/process/retryBudget.ts
+++ b/src/process/retryBudget.ts
@@ -24,14 +24,16 @@
     private readonly share: number;
     private readonly windowMs: number;
     private readonly minimum: number;
+    private readonly idlePerSecond: number;
 
     constructor(
         private readonly clock: Clock,
-        options: { share?: number; windowMs?: number; minimum?: number } = {},
+        options: { share?: number; windowMs?: number; minimum?: number; idlePerSecond?: number } = {},
     ) {
         this.share = options.share ?? DEFAULT_RETRY_SHARE;
         this.windowMs = options.windowMs ?? DEFAULT_RETRY_WINDOW_MS;
         this.minimum = options.minimum ?? DEFAULT_MINIMUM_RETRIES;
+        this.idlePerSecond = options.idlePerSecond ?? IDLE_RETRIES_PER_SECOND;
         this.tokens = this.minimum;
         this.updatedAt = clock.monotonicMs();
     }
@@ -72,7 +74,7 @@
         this.updatedAt = now;
         this.recent *= Math.exp(-elapsedMs / this.windowMs);
         if (this.tokens < this.minimum) {
-            this.tokens = Math.min(this.minimum, this.tokens + (IDLE_RETRIES_PER_SECOND * elapsedMs) / 1_000);
+            this.tokens = Math.min(this.minimum, this.tokens + (this.idlePerSecond * elapsedMs) / 1_000);
         }
         this.tokens = Math.min(this.capacity(), this.tokens);
     }
--- /dev/null
+++ b/src/request/gatewayRequest.ts
@@ -0,0 +1,479 @@
+import type { SentRequest, TargetFailure } from "../connection/targetConnections.js";
+import type { Header } from "../connection/peerProtocol.js";
+import type { Clock, TimerCancellation } from "../process/clock.js";
+import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
+import type { Route } from "../version/routeConfig.js";
+import { decideAfterAttempt, type AttemptEnd } from "./decideAfterAttempt.js";
+import type { AnswerFacts, AnswerHead, AnswerStream, GatewayCall, GatewayReply } from "./gatewayCall.js";
+import { refuse, type Refusal } from "./refusal.js";
+
+/** Time that an answer needs on its way to the caller, in milliseconds; the final answer is due that much earlier. */
+const REPLY_MARGIN_MS = 15;
+/** Size from which an answer is passed on while it arrives, in bytes. Smaller ones are checked whole first. */
+const STREAM_FROM_BYTES = 1_048_576;
+/** Idle time after which a connection isn't used for a request that can't be repeated, in milliseconds. */
+const UNREPEATABLE_IDLE_MS = 3_000;
+/** Idle time after which a connection isn't used for a request that can be repeated, in milliseconds. */
+const REPEATABLE_IDLE_MS = 8_000;
+/** Longest wait for a new owner of a key when the known one has given it up, in milliseconds. */
+const OWNER_WAIT_MS = 250;
+/** Share of the time allowed after which an idempotent request without any answer is sent to another target. */
+const SILENCE_SHARE = 0.5;
+
+/** Where a request can go now. */
+export type Placement =
+    | { type: "target"; target: GatewayTarget }
+    /** The owner of the key is about to change; ask again when `onOwnerChange` tells. */
+    | { type: "wait" }
+    | { type: "refuse"; refusal: Refusal };
+
+/** What is known of a request when a target is chosen for it. */
+export interface PlacementQuery {
+    call: GatewayCall;
+    route: Route;
+    service: string;
+    /** Targets that it was sent to, or that couldn't be reached. */
+    tried: ReadonlySet<GatewayTarget>;
+    /** Targets that stated not to own its key. */
+    disowned: ReadonlySet<GatewayTarget>;
+    /** Milliseconds until the final answer is due. */
+    leftMs: number;
+}
+
+/** What a request needs from the process. */
+export interface GatewayServices {
+    clock: Clock;
+    /** Chooses a target for the next attempt. */
+    place(query: PlacementQuery): Placement;
+    /** Calls back once when owners of the service's keys have changed. */
+    onOwnerChange(service: string, callback: () => void): TimerCancellation;
+    /** Whether a further attempt has a target after one that ended like this. */
+    canPlaceAgain(query: PlacementQuery, end: AttemptEnd | "silent"): boolean;
+    takeRetry(service: string): boolean;
+    /** Headers for a target: those of the caller and those that the target's protocol asks for. */
+    targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
+    factsOf(status: number, headers: Header[]): AnswerFacts;
+    /** Called when the address of a target belongs to another one. */
+    addressLost(target: GatewayTarget): void;
+    /** Called when a connection broke while a target may have run the request. */
+    brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
+    /** Called once at the end. */
+    ended(request: GatewayRequest, outcome: RequestOutcome): void;
+}
+
+/** How a request ended. */
+export interface RequestOutcome {
+    type: "answered" | "refused" | "caller-gone";
+    status: number;
+    /** The kind of refusal, or "" for answers. */
+    cause: string;
+    detail: string;
+}
+
+/** One attempt at a target. */
+interface Attempt {
+    target: GatewayTarget;
+    sent: SentRequest | undefined;
+    startedAt: number;
+    loadAtStart: number;
+    wasSent: boolean;
+    isSettled: boolean;
+}
+
+/**
+ * One request of a caller on its way to a target and back. It lives until the caller has its final answer or has gone.
+ *
+ * @example
+ * const request = new GatewayRequest(call, route, "stock", reply, services);
+ * request.start();
+ * request.callerGone();
+ */
+export class GatewayRequest {
+    /** Targets that the request was sent to. */
+    sends = 0;
+    private readonly tried = new Set<GatewayTarget>();
+    private readonly disowned = new Set<GatewayTarget>();
+    private readonly expiresAt: number;
+    private readonly dispose: TimerCancellation[] = [];
+    private mayHaveRun = false;
+    private isDone = false;
+    private attempt: Attempt | undefined;
+    private cancelOwnerWait: TimerCancellation = () => undefined;
+    private ownerWaitEndsAt: number | undefined;
+    /** Last refusal by targets or placement, for the case that time runs out. */
+    private lastRefusal = refuse("deadline-passed", "No target could run it in time.");
+
+    constructor(
+        readonly call: GatewayCall,
+        readonly route: Route,
+        readonly service: string,
+        private readonly reply: GatewayReply,
+        private readonly services: GatewayServices,
+    ) {
+        const allowedMs = Math.min(route.timeoutMs, (call.deadlineMs ?? Infinity) - REPLY_MARGIN_MS);
+        this.expiresAt = call.arrivedAt + allowedMs;
+    }
+
+    /** Milliseconds until the final answer is due. */
+    leftMs(): number {
+        return this.expiresAt - this.services.clock.monotonicMs();
+    }
+
+    /** Identifiers of the targets that the request was sent to, in order. */
+    targets(): string[] {
+        return [...this.tried].map(({ id }) => id);
+    }
+
+    start(): void {
+        if (this.leftMs() <= 0) {
+            this.finishRefused(refuse("deadline-passed", "Its time had passed when it arrived."));
+            return;
+        }
+        this.dispose.push(this.services.clock.setTimer(this.leftMs(), () => this.expire()));
+        this.place();
+    }
+
+    /**
+     * Ends the work for a caller that has gone. A request that can't be repeated runs to its end at the target: breaking
+     * it off would leave open whether it took effect.
+     */
+    callerGone(): void {
+        if (this.isDone) {
+            return;
+        }
+        const { attempt } = this;
+        const isRunningOnce = attempt?.wasSent === true && this.route.repeatability === "nonIdempotent";
+        this.finish({ type: "caller-gone", status: 0, cause: "caller-gone", detail: "The caller has gone." });
+        if (!isRunningOnce) {
+            this.abortAttempt(attempt, "the caller has gone");
+        }
+    }
+
+    private place(): void {
+        if (this.isDone) {
+            return;
+        }
+        const { services } = this;
+        const placement = services.place(this.query());
+        switch (placement.type) {
+            case "target":
+                this.send(placement.target);
+                return;
+            case "wait":
+                this.waitForOwner();
+                return;
+            case "refuse":
+                this.lastRefusal = placement.refusal;
+                this.finishUnanswered();
+                return;
+        }
+    }
+
+    private query(): PlacementQuery {
+        const { call, route, service, tried, disowned } = this;
+        return { call, route, service, tried, disowned, leftMs: this.leftMs() };
+    }
+
+    private waitForOwner(): void {
+        const now = this.services.clock.monotonicMs();
+        this.ownerWaitEndsAt ??= now + OWNER_WAIT_MS;
+        if (now >= this.ownerWaitEndsAt) {
+            this.lastRefusal = refuse("no-owner", "The key is changing its owner.", 0.2 + 0.2 * Math.random());
+            this.finishUnanswered();
+            return;
+        }
+        const cancelTimer = this.services.clock.setTimer(this.ownerWaitEndsAt - now, () => this.endOwnerWait());
+        const cancelCallback = this.services.onOwnerChange(this.service, () => this.endOwnerWait());
+        this.cancelOwnerWait = () => {
+            cancelTimer();
+            cancelCallback();
+        };
+    }
+
+    private endOwnerWait(): void {
+        this.cancelOwnerWait();
+        this.cancelOwnerWait = () => undefined;
+        this.place();
+    }
+
+    private send(target: GatewayTarget): void {
+        const { clock } = this.services;
+        const { call, route } = this;
+        const attempt: Attempt = {
+            target,
+            sent: undefined,
+            startedAt: clock.monotonicMs(),
+            loadAtStart: target.load(),
+            wasSent: false,
+            isSettled: false,
+        };
+        this.attempt = attempt;
+        target.started();
+        let head: AnswerHead | undefined;
+        let facts: AnswerFacts | undefined;
+        let chunks: Buffer[] = [];
+        let length = 0;
+        let stream: AnswerStream | undefined;
+        attempt.sent = target.connections.send(
+            {
+                method: call.method,
+                path: call.url,
+                headers: this.services.targetHeaders(call, target.id, this.leftMs()),
+                body: call.body,
+            },
+            {
+                sent: () => {
+                    attempt.wasSent = true;
+                    this.sends++;
+                    this.tried.add(target);
+                },
+                head: (status, headers) => {
+                    head = { status, headers };
+                    facts = this.services.factsOf(status, headers);
+                    if (facts.load !== undefined) {
+                        target.report(facts.load);
+                    }
+                    if (facts.requestId !== undefined && facts.requestId !== call.requestId) {
+                        attempt.sent?.abort("the answer belongs to another request");
+                    }
+                },
+                data: chunk => {
+                    if (stream !== undefined) {
+                        if (!stream.data(chunk)) {
+                            attempt.sent?.pause();
+                        }
+                        return;
+                    }
+                    chunks.push(Buffer.from(chunk));
+                    length += chunk.length;
+                    if (length > STREAM_FROM_BYTES && this.canStream(attempt, head, facts)) {
+                        stream = this.reply.stream(head as AnswerHead, () => attempt.sent?.resume());
+                        chunks.forEach(part => stream?.data(part));
+                        chunks = [];
+                    }
+                },
+                end: () => {
+                    if (!this.settle(attempt)) {
+                        return;
+                    }
+                    if (stream !== undefined) {
+                        this.learn(attempt);
+                        stream.end();
+                        this.finish({ type: "answered", status: head?.status ?? 0, cause: "", detail: "streamed" });
+                        return;
+                    }
+                    this.completed(attempt, head as AnswerHead, facts as AnswerFacts, chunks);
+                },
+                failed: failure => {
+                    if (!this.settle(attempt)) {
+                        return;
+                    }
+                    if (stream !== undefined) {
+                        stream.abort();
+                        this.finish({
+                            type: "refused",
+                            status: 0,
+                            cause: "answer-broken",
+                            detail: "The target broke a long answer off.",
+                        });
+                        return;
+                    }
+                    this.attemptFailed(attempt, failure);
+                },
+            },
+            {
+                fresh: false,
+                maxIdleMs: route.repeatability === "idempotent" ? REPEATABLE_IDLE_MS : UNREPEATABLE_IDLE_MS,
+            },
+        );
+        if (route.repeatability === "idempotent") {
+            this.watchSilence(attempt);
+        }
+    }
+
+    /** An answer can be streamed only if nothing about it can turn out to be wrong except its end. */
+    private canStream(attempt: Attempt, head: AnswerHead | undefined, facts: AnswerFacts | undefined): boolean {
+        return (
+            !this.isDone &&
+            this.attempt === attempt &&
+            head !== undefined &&
+            facts?.signed === true &&
+            facts.requestId === this.call.requestId
+        );
+    }
+
+    /** Sends an idempotent request elsewhere when its target keeps silent; the answer may have been lost. */
+    private watchSilence(attempt: Attempt): void {
+        const waitMs = this.leftMs() * SILENCE_SHARE;
+        this.dispose.push(
+            this.services.clock.setTimer(waitMs, () => {
+                if (this.isDone || attempt.isSettled || this.attempt !== attempt || !attempt.wasSent) {
+                    return;
+                }
+                const canRepeat =
+                    this.sends < this.route.maxAttempts &&
+                    this.services.canPlaceAgain(this.query(), "silent") &&
+                    this.services.takeRetry(this.service);
+                if (canRepeat) {
+                    attempt.target.unansweredCall(attempt.startedAt);
+                    this.mayHaveRun = true;
+                    this.abortAttempt(attempt, "the target keeps silent");
+                    this.place();
+                }
+            }),
+        );
+    }
+
+    /** Marks an attempt as ended; `false` when it was given up before. */
+    private settle(attempt: Attempt): boolean {
+        if (attempt.isSettled) {
+            return false;
+        }
+        attempt.isSettled = true;
+        attempt.target.ended();
+        return true;
+    }
+
+    private learn(attempt: Attempt): void {
+        attempt.target.answered(this.services.clock.monotonicMs() - attempt.startedAt, attempt.loadAtStart);
+    }
+
+    /** A whole answer has come. */
+    private completed(attempt: Attempt, head: AnswerHead, facts: AnswerFacts, chunks: Buffer[]): void {
+        const { target } = attempt;
+        if (facts.answeredBy !== undefined && facts.answeredBy !== target.id) {
+            this.services.addressLost(target);
+        }
+        if (facts.notRun) {
+            if (head.status === 421) {
+                this.disowned.add(target);
+            } else {
+                target.failed();
+            }
+            const text = `Target ${target.id} did not run it (status ${head.status}).`;
+            this.lastRefusal = refuse(head.status === 421 ? "no-owner" : "overloaded", text, this.pauseSeconds());
+            this.next(attempt, "not-run");
+            return;
+        }
+        const isSuccess = head.status >= 200 && head.status < 300;
+        if (isSuccess && (!facts.signed || facts.requestId !== this.call.requestId)) {
+            target.failed();
+            this.next(attempt, "lost");
+            return;
+        }
+        if (this.isDone) {
+            return;
+        }
+        if (head.status >= 500) {
+            target.failed();
+            this.next(attempt, "failed", () => this.deliver(head, chunks));
+            return;
+        }
+        this.learn(attempt);
+        this.deliver(head, chunks);
+    }
+
+    private deliver(head: AnswerHead, chunks: Buffer[]): void {
+        this.reply.answer(head, chunks);
+        this.finish({ type: "answered", status: head.status, cause: "", detail: "" });
+    }
+
+    private attemptFailed(attempt: Attempt, failure: TargetFailure): void {
+        const { target } = attempt;
+        const isOwnAbort = failure.type === "aborted" && this.isDone;
+        if (!isOwnAbort && failure.type !== "connection-limit") {
+            target.unansweredCall(attempt.startedAt);
+        }
+        if (!attempt.wasSent) {
+            this.tried.add(target);
+            const text = `Target ${target.id} can't be reached (${failure.type}).`;
+            this.lastRefusal = refuse("owner-unreachable", text, this.pauseSeconds());
+            this.next(attempt, "not-sent");
+            return;
+        }
+        if (failure.type === "broken") {
+            this.services.brokeWhileRunning(this.call, target);
+        }
+        this.next(attempt, "lost");
+    }
+
+    private next(attempt: Attempt, end: AttemptEnd, deliver: () => void = () => undefined): void {
+        if (end === "lost" || end === "failed") {
+            this.mayHaveRun = true;
+        }
+        if (this.isDone || this.attempt !== attempt) {
+            return;
+        }
+        const step = decideAfterAttempt({
+            end,
+            repeatability: this.route.repeatability,
+            mayHaveRun: this.mayHaveRun,
+            sends: this.sends,
+            maxAttempts: this.route.maxAttempts,
+            leftMs: this.leftMs(),
+            hasTarget: this.services.canPlaceAgain(this.query(), end),
+            takeRetry: () => this.services.takeRetry(this.service),
+        });
+        switch (step) {
+            case "send-again":
+                this.place();
+                return;
+            case "deliver":
+                deliver();
+                return;
+            case "report-lost":
+            case "refuse":
+                this.finishUnanswered();
+                return;
+        }
+    }
+
+    /** Pause that a caller is told, in seconds: part of the time left, spread so that callers don't return together. */
+    private pauseSeconds(): number {
+        const spread = 0.6 + 0.8 * Math.random();
+        return Math.max(0.05, Math.min(0.3, this.leftMs() / 5_000)) * spread;
+    }
+
+    private expire(): void {
+        if (this.isDone) {
+            return;
+        }
+        const { attempt } = this;
+        const isRunning = attempt !== undefined && !attempt.isSettled && attempt.wasSent;
+        this.mayHaveRun ||= isRunning;
+        if (isRunning) {
+            attempt.target.unansweredCall(attempt.startedAt);
+        }
+        this.finishRefused(
+            this.mayHaveRun
+                ? refuse("answer-lost", `No answer came within ${Math.round(this.expiresAt - this.call.arrivedAt)} ms.`)
+                : refuse("deadline-passed", this.lastRefusal.detail),
+        );
+        this.abortAttempt(attempt, "its time has passed");
+    }
+
+    /** Ends the request without a target's answer, true to whether it may have run. */
+    private finishUnanswered(): void {
+        this.finishRefused(
+            this.mayHaveRun ? refuse("answer-broken", "The target's answer was lost.") : this.lastRefusal,
+        );
+    }
+
+    private finishRefused(refusal: Refusal): void {
+        this.reply.refuse(refusal);
+        this.finish({ type: "refused", status: 0, cause: refusal.type, detail: refusal.detail });
+    }
+
+    private finish(outcome: RequestOutcome): void {
+        this.isDone = true;
+        this.cancelOwnerWait();
+        this.dispose.forEach(cancel => cancel());
+        this.services.ended(this, outcome);
+    }
+
+    private abortAttempt(attempt: Attempt | undefined, reason: string): void {
+        if (attempt !== undefined && !attempt.isSettled) {
+            attempt.sent?.abort(reason);
+        }
+    }
+}
--- a/src/request/refusal.ts
+++ b/src/request/refusal.ts
@@ -3,6 +3,7 @@
 /** Reasons for which a request is refused, with the HTTP status, the outcome and the advice for each. */
 const REFUSAL_KINDS = {
     "no-bundle": { status: 503, outcome: "not-run", retryAfterSeconds: 1, advice: "Send it again shortly." },
+    "unknown-route": { status: 404, outcome: "invalid", advice: "Use a host and path that the config routes." },
     "unknown-service": { status: 404, outcome: "invalid", advice: "Name a service of the bundle in force." },
     "unknown-kind": { status: 404, outcome: "invalid", advice: "Use a method and path that the bundle declares." },
     "bad-method": { status: 405, outcome: "invalid", advice: "Use a method that the bundle declares for this path." },
@@ -39,6 +40,11 @@
         outcome: "unknown",
         advice: "It may have run. An idempotent request may be sent again; for others send the same identifier again.",
     },
+    "answer-broken": {
+        status: 502,
+        outcome: "unknown",
+        advice: "It may have run. An idempotent request may be sent again; for others find out by a lookup.",
+    },
     "deadline-passed": { status: 503, outcome: "not-run", advice: "It may be sent again with a longer deadline." },
     overloaded: { status: 503, outcome: "not-run", retryAfterSeconds: 1, advice: "Send it again after the pause." },
     "retry-budget-spent": {
@@ -83,6 +89,8 @@
 export interface Refusal {
     type: RefusalKind;
     detail: string;
+    /** Pause before the caller sends again, in seconds; the kind's own by default. */
+    retryAfterSeconds?: number;
 }
 
 /** Problem details (RFC 9457) of a refusal, with its status and outcome. */
@@ -99,7 +107,11 @@
  * @example
  * return err(refuse("missing-key", "Service stock is divided by key."));
  */
-export const refuse = (type: RefusalKind, detail: string): Refusal => ({ type, detail });
+export const refuse = (type: RefusalKind, detail: string, retryAfterSeconds?: number): Refusal => ({
+    type,
+    detail,
+    ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
+});
 
 /**
  * The outcome that a refusal reports to the caller.
@@ -122,7 +134,7 @@
     return {
         status: kind.status,
         outcome: kind.outcome,
-        retryAfterSeconds: kind.retryAfterSeconds,
+        retryAfterSeconds: refusal.retryAfterSeconds ?? kind.retryAfterSeconds,
         body: {
             type: `urn:sassafrasloom:${refusal.type}`,
             title: refusal.type.replaceAll("-", " "),
