--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -57,7 +57,7 @@
 /** The state of one connection of a caller. */
 interface CallerConnection {
     exchanges: Set<Exchange>;
-    /** Bytes received when the last answer was handed over; `undefined` while a request is under way. */
+    /** Bytes received when the last answer was handed over; `undefined` before the first and while a request runs. */
     idleAtBytes: number | undefined;
 }
 
@@ -148,7 +148,7 @@
         if (known !== undefined) {
             return known;
         }
-        const connection: CallerConnection = { exchanges: new Set(), idleAtBytes: 0 };
+        const connection: CallerConnection = { exchanges: new Set(), idleAtBytes: undefined };
         connections.set(socket, connection);
         const callerGone = () => connection.exchanges.forEach(exchange => exchange.cancel());
         // A caller that gives up closes its connection, of which the end of its bytes is the first sign.
@@ -160,10 +160,13 @@
         return connection;
     };
 
-    /** Closes a connection between requests. Bytes of a request that is on its way aren't read, so it didn't run. */
+    /**
+     * Closes a connection between requests, for reading too: a request that crosses the close isn't read, so its caller
+     * knows that it didn't run.
+     */
     const closeIfIdle = (socket: Socket, connection: CallerConnection) => {
         if (connection.exchanges.size === 0 && connection.idleAtBytes === socket.bytesRead) {
-            socket.end();
+            socket.destroy();
         }
     };
 
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -1,6 +1,7 @@
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../process/clock.js";
 import type { Header } from "./peerProtocol.js";
+import { resettingConnector } from "./resettingConnector.js";
 
 /** Idle time after which a connection to a target is closed instead of used again. */
 export const DEFAULT_IDLE_LIMIT_MS = 10_000;
@@ -49,6 +50,8 @@
     client: Client;
     lastSuccessAt: number;
     idle: boolean;
+    /** Whether the connection was reset. The client takes an answer without a length for whole even then. */
+    wasReset: boolean;
 }
 
 const describeFailure = (error: unknown): TargetFailure => {
@@ -139,6 +142,10 @@
                 if (settled) {
                     return;
                 }
+                if (connection.wasReset) {
+                    fail(new Error("the connection was reset within the answer"));
+                    return;
+                }
                 settled = true;
                 this.release(connection);
                 answer.end();
@@ -232,14 +239,16 @@
         this.opened++;
         const client = new Client(`http://${this.address}`, {
             pipelining: 1,
-            connect: { timeout: this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
+            connect: resettingConnector(this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS, () => {
+                connection.wasReset = true;
+            }),
             // The dispatcher bounds each request by its deadline; the library's own time-outs would hide it.
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: DEFAULT_IDLE_LIMIT_MS,
             keepAliveMaxTimeout: DEFAULT_IDLE_LIMIT_MS,
         });
-        const connection = { client, lastSuccessAt: this.clock.monotonicMs(), idle: false };
+        const connection = { client, lastSuccessAt: this.clock.monotonicMs(), idle: false, wasReset: false };
         this.connections.add(connection);
         client.on("disconnect", () => {
             if (connection.idle) {
--- /dev/null
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -0,0 +1,99 @@
+import { advanceInSteps } from "../../../../test/support/advanceInSteps.js";
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
+import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
+import { AssignerLease, LEASE_KEY, LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
+
+const createLease = (store: MemoryRowStore, clock: ManualClock, instance: string, incarnation = instance) => {
+    const steps: string[] = [];
+    const lease = new AssignerLease({
+        store,
+        instance,
+        incarnation,
+        clock,
+        logger: SILENT_LOGGER,
+        gained: () => steps.push("gained"),
+        lost: () => steps.push("lost"),
+        random: () => 0.5,
+    });
+    return { lease, steps };
+};
+
+describe("AssignerLease", () => {
+    it("is held by one instance only", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const first = createLease(store, clock, "a1");
+        const second = createLease(store, clock, "a2");
+        first.lease.start();
+        second.lease.start();
+        await advanceInSteps(clock, 20_000);
+        expect([first.lease.isHeld(), second.lease.isHeld()].filter(Boolean)).toHaveLength(1);
+    });
+
+    it("passes on only after the former holder has stopped counting on it", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const first = createLease(store, clock, "a1");
+        const second = createLease(store, clock, "a2");
+        first.lease.start();
+        await advanceInSteps(clock, 100);
+        second.lease.start();
+        await advanceInSteps(clock, 2_000);
+        first.lease.dispose();
+        for (let elapsed = 0; elapsed < 20_000 && !second.lease.isHeld(); elapsed += 50) {
+            await advanceInSteps(clock, 50);
+            expect(first.lease.isHeld() && second.lease.isHeld()).toBe(false);
+        }
+        expect(second.lease.isHeld()).toBe(true);
+    });
+
+    it("ends for a holder that can't reach the store", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const { lease, steps } = createLease(store, clock, "a1");
+        lease.start();
+        await advanceInSteps(clock, 100);
+        store.fault = "down";
+        await advanceInSteps(clock, LEASE_MS + 500);
+        expect(lease.isHeld()).toBe(false);
+        expect(steps).toEqual(["gained", "lost"]);
+    });
+
+    it("doesn't count on a renewal whose answer was lost, and goes on with the row that it left", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const { lease } = createLease(store, clock, "a1");
+        lease.start();
+        await advanceInSteps(clock, 100);
+        store.fault = "answer-lost";
+        await advanceInSteps(clock, LEASE_MS + 500);
+        expect(lease.isHeld()).toBe(false);
+        store.fault = undefined;
+        await advanceInSteps(clock, 6_000);
+        expect(lease.isHeld()).toBe(true);
+    });
+
+    it("ends at once when the time of day has moved against the steady clock, as after a suspension", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const { lease } = createLease(store, clock, "a1");
+        lease.start();
+        await advanceInSteps(clock, 100);
+        expect(lease.isHeld()).toBe(true);
+        clock.shiftWall(3_000);
+        expect(lease.isHeld()).toBe(false);
+        await advanceInSteps(clock, 2_000);
+        expect(lease.isHeld()).toBe(true);
+    });
+
+    it("is taken up at once by the same instance after a restart", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put(LEASE_TABLE, LEASE_KEY, { instance: "a1", incarnation: "earlier", renewal: 9 });
+        const { lease } = createLease(store, clock, "a1", "later");
+        lease.start();
+        await advanceInSteps(clock, 100);
+        expect(lease.isHeld()).toBe(true);
+    });
+});
--- /dev/null
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -0,0 +1,194 @@
+import { advanceInSteps } from "../../../../test/support/advanceInSteps.js";
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
+import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
+import { LEASE_KEY, LEASE_TABLE } from "../assignerLease.js";
+import { ASSIGNMENT_TABLE, KeyAssigner } from "../keyAssigner.js";
+import { KEY_COUNT, type KeyAssignment } from "../keyMap.js";
+import type { GrantReply, OwnershipCalls, ReleaseReply } from "../ownershipCalls.js";
+import type { DirectoryTarget } from "../targetDirectory.js";
+
+const HOLD_MS = 10_000;
+
+/** Targets that keep what they are granted, as the bench's do. */
+class GrantedTargets implements OwnershipCalls {
+    /** By address: until when each granted range holds. */
+    readonly held = new Map<string, { from: number; to: number; fence: number; until: number }[]>();
+    readonly silent = new Set<string>();
+    readonly log: string[] = [];
+
+    constructor(private readonly clock: ManualClock) {}
+
+    grant(address: string, grant: { from: number; to: number; fence: number; holdMs: number }): Promise<GrantReply> {
+        if (this.silent.has(address)) {
+            return Promise.resolve({ type: "unanswered", detail: "silent" });
+        }
+        this.log.push(`grant ${address} ${grant.from} ${grant.to} ${grant.fence}`);
+        const others = [...this.held].filter(([other]) => other !== address).flatMap(([, grants]) => grants);
+        const now = this.clock.monotonicMs();
+        const overlap = others.find(held => held.from <= grant.to && grant.from <= held.to && held.until > now);
+        if (overlap !== undefined) {
+            throw new Error(`two owners of ${grant.from} to ${grant.to} at ${now}`);
+        }
+        const kept = this.without(address, grant);
+        this.held.set(address, [...kept, { ...grant, until: now + grant.holdMs }]);
+        return Promise.resolve({ type: "granted" });
+    }
+
+    release(address: string, keys: { from: number; to: number; fence: number }): Promise<ReleaseReply> {
+        if (this.silent.has(address)) {
+            return Promise.resolve({ type: "unanswered", detail: "silent" });
+        }
+        this.log.push(`release ${address} ${keys.from} ${keys.to}`);
+        this.held.set(address, this.without(address, keys));
+        return Promise.resolve({ type: "released", handover: `state-${address}` });
+    }
+
+    private without(address: string, keys: { from: number; to: number }) {
+        return (this.held.get(address) ?? []).flatMap(held =>
+            held.to < keys.from || held.from > keys.to
+                ? [held]
+                : [
+                      { ...held, to: keys.from - 1 },
+                      { ...held, from: keys.to + 1 },
+                  ].filter(({ from, to }) => from <= to),
+        );
+    }
+}
+
+const listed = (id: string, startedAtMs = 1): DirectoryTarget => ({
+    entry: {
+        id,
+        service: "stock",
+        address: `${id}:80`,
+        domain: "linz",
+        slots: 6,
+        draining: false,
+        warmupLeftMs: 0,
+        startedAtMs,
+    },
+    usable: true,
+    gone: false,
+    seenAt: 0,
+});
+
+const createWorld = async (ids: string[]) => {
+    const store = new MemoryRowStore();
+    const clock = new ManualClock();
+    store.put(LEASE_TABLE, LEASE_KEY, { instance: "a1", incarnation: "a1", renewal: 1 });
+    const leaseRow = (await store.row(LEASE_TABLE, LEASE_KEY))._unsafeUnwrap();
+    const lease = { held: true, isHeld: () => lease.held, version: leaseRow?.version ?? 0 };
+    const calls = new GrantedTargets(clock);
+    let targets = ids.map(id => listed(id));
+    const create = () =>
+        new KeyAssigner({
+            service: "stock",
+            store,
+            calls,
+            clock,
+            logger: SILENT_LOGGER,
+            lease,
+            targets: () => targets,
+            measure: () => ({ capacity: 1, pressure: 0 }),
+            weights: () => new Float64Array(KEY_COUNT).fill(1),
+            holdMs: HOLD_MS,
+        });
+    const assignment = () => store.read(ASSIGNMENT_TABLE, "stock") as KeyAssignment;
+    return {
+        store,
+        clock,
+        lease,
+        calls,
+        create,
+        assignment,
+        owners: () => new Set(assignment().ranges.map(({ target }) => target)),
+        targets: () => targets,
+        setTargets: (next: DirectoryTarget[]) => {
+            targets = next;
+        },
+    };
+};
+
+describe("KeyAssigner", () => {
+    it("assigns all keys once the targets have registered", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        expect(world.owners()).toEqual(new Set(["t1", "t2"]));
+    });
+
+    it("takes the keys of a leaving target by a release before another one gets them", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        const [first, second] = world.targets();
+        first.entry = { ...first.entry, draining: true };
+        first.usable = false;
+        await advanceInSteps(world.clock, 2_000);
+        expect(world.owners()).toEqual(new Set([second.entry.id]));
+        expect(world.calls.log.some(line => line.startsWith("release t1:80"))).toBe(true);
+    });
+
+    it("waits for the end of the grants of a silent target whose entry has gone", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        world.calls.silent.add("t1:80");
+        world.setTargets(world.targets().slice(1));
+        // GrantedTargets throws when keys are granted while the silent target still holds them.
+        await advanceInSteps(world.clock, HOLD_MS - 2_000);
+        expect(world.owners()).toEqual(new Set(["t1", "t2"]));
+        await advanceInSteps(world.clock, 7_000);
+        expect(world.owners()).toEqual(new Set(["t2"]));
+    });
+
+    it("gives the keys of a restarted target away at once, with a higher fencing token", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        const before = world.assignment().fence;
+        world.calls.held.set("t1:80", []);
+        world.setTargets([listed("t1", 2), world.targets()[1]]);
+        await advanceInSteps(world.clock, 1_500);
+        const { fence, ranges } = world.assignment();
+        expect(fence).toBeGreaterThan(before);
+        expect(ranges.some(({ target, startedAtMs }) => target === "t1" && startedAtMs === 1)).toBe(false);
+    });
+
+    it("renews the grants of a former assigner under the same fencing token", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        const first = world.create();
+        void first.start();
+        await advanceInSteps(world.clock, 5_000);
+        const before = world.assignment();
+        first.dispose();
+        world.calls.log.length = 0;
+        void world.create().start();
+        await advanceInSteps(world.clock, 3_000);
+        expect(world.assignment()).toEqual(before);
+        expect(world.calls.log.length).toBeGreaterThan(0);
+        expect(world.calls.log.every(line => line.startsWith("grant"))).toBe(true);
+    });
+
+    it("grants nothing without the lease", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        world.lease.held = false;
+        world.calls.log.length = 0;
+        await advanceInSteps(world.clock, 5_000);
+        expect(world.calls.log).toEqual([]);
+    });
+
+    it("finds out about a commit whose answer was lost instead of assigning twice", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 2_500);
+        world.store.fault = "answer-lost";
+        await advanceInSteps(world.clock, 1_500);
+        world.store.fault = undefined;
+        await advanceInSteps(world.clock, 1_500);
+        expect(world.owners()).toEqual(new Set(["t1", "t2"]));
+        expect(world.assignment().fence).toBe(1);
+    });
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -29,7 +29,7 @@
 import { TargetPlacement } from "./targetPlacement.js";
 
 /** Pause between two reads of changes of targets, in milliseconds; changes within it cost one call together. */
-const TARGET_CHANGES_PAUSE_MS = 300;
+const TARGET_CHANGES_PAUSE_MS = 600;
 /** Time without an answer of the store after which it counts as out of reach, in milliseconds. */
 const OUTAGE_MS = 1_000;
 const OUTAGE_CHECK_MS = 250;
@@ -44,7 +44,7 @@
 const CONNECTION_SHARE = 0.8;
 const ASSUMED_INSTANCES = 12;
 /** Time that a stopping instance goes on taking connections: the balancer needs it to notice. In milliseconds. */
-const BALANCER_NOTICE_MS = 2_500;
+const BALANCER_NOTICE_MS = 3_000;
 const DRAIN_STEP_MS = 100;
 
 /** The platform as the gateway uses it; implemented outside the product. */
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -26,6 +26,8 @@
 const SETTLING_MS = 1_000;
 /** Time after the first target within which others are waited for before the first assignment, in milliseconds. */
 const FIRST_ASSIGNMENT_MS = 2_500;
+/** Time for which a transaction waits for further changes, in milliseconds. Each one wakes all instances. */
+const COMMIT_LINGER_MS = 4;
 /** Time in which the entry of a target that answers may return before its keys are moved, in milliseconds. */
 const RETURN_MS = 300;
 /** Least time between two moves for balance, in milliseconds; the loads need time to show the last ones' effect. */
@@ -196,7 +198,7 @@
             listed.add(identity);
             const known = this.known.get(identity);
             if (known === undefined) {
-                const grants = new GrantRecord(this.startedAt, this.options.holdMs ?? DEFAULT_HOLD_MS);
+                const grants = new GrantRecord(now, this.options.holdMs ?? DEFAULT_HOLD_MS);
                 this.known.set(identity, {
                     listed: target,
                     grants,
@@ -265,14 +267,15 @@
         }
         const { entry, usable } = known.listed;
         const holdsKeys = this.assignment.ranges.some(range => this.ownerOf(range) === known);
-        // A target whose grants have ended unanswered is out of reach; it gets keys again when it answers.
-        const isReached = !holdsKeys || now < known.grants.endsAt();
-        const waitsForReturn = known.goneAt !== undefined && !this.mayRelease(known, now) && isReached;
+        // A target whose grants have ended unanswered is out of reach.
+        const isReached = holdsKeys ? now < known.grants.endsAt() : !known.grants.isSilent(now);
+        const isListed = known.goneAt === undefined;
+        const waitsForReturn = !isListed && holdsKeys && isReached && !this.mayRelease(known, now);
         return {
             id: entry.id,
             startedAtMs: entry.startedAtMs,
             ...this.options.measure(known.listed),
-            receives: (usable && isReached) || waitsForReturn,
+            receives: (isListed && usable && isReached) || waitsForReturn,
             releases: usable && now - known.grants.answeredAt() < 2 * RENEWAL_MS,
         };
     }
@@ -386,6 +389,7 @@
             return;
         }
         this.isCommitting = true;
+        await this.pause(COMMIT_LINGER_MS);
         while (this.queue.length > 0 && !this.disposed) {
             const batch = this.queue.splice(0);
             const fence = this.assignment.fence + 1;
@@ -480,9 +484,8 @@
         this.observe();
         const now = this.options.clock.monotonicMs();
         for (const known of this.known.values()) {
-            // A grant that has ended isn't renewed for a target that is gone: its keys are about to be moved.
-            const isOver = known.goneAt !== undefined && now >= known.grants.endsAt();
-            if (known.ended || isOver || known.isRenewing) {
+            const isRenewable = known.grants.isRenewable(now, known.goneAt !== undefined);
+            if (known.ended || !isRenewable || known.isRenewing) {
                 continue;
             }
             const ranges = this.assignment.ranges
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -79,6 +79,21 @@
         }
         return low;
     }
+
+    /** The first key from which on the load up to `to` stays at or below `load`; at most `to`. */
+    firstKeyWithin(from: number, to: number, load: number): number {
+        let low = from;
+        let high = to;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if (this.of(middle, to) <= load) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
 }
 
 const leastLoaded = (holdings: readonly Holding[]): Holding | undefined =>
@@ -112,27 +127,29 @@
     return moves;
 };
 
-/** The piece of an overloaded target's keys that carries about `excess` load. */
-const excessPiece = (
+/** A piece of a target's keys that carries about `wanted` load, from the end of its busiest range where it fits best. */
+const pieceOf = (
     ranges: readonly KeyRange[],
     holding: Holding,
-    excess: number,
+    wanted: number,
     loads: KeyLoads,
 ): { from: number; to: number } | undefined => {
-    const largest = ranges
-        .filter(({ target }) => target === holding.target.id)
-        .reduce<KeyRange | undefined>(
-            (best, range) =>
-                best === undefined || loads.of(range.from, range.to) > loads.of(best.from, best.to) ? range : best,
-            undefined,
-        );
-    if (largest === undefined) {
+    const own = ranges.filter(({ target }) => target === holding.target.id);
+    const loadOf = ({ from, to }: { from: number; to: number }) => loads.of(from, to);
+    const [largest] = [...own].sort((a, b) => loadOf(b) - loadOf(a));
+    if (largest === undefined || (own.length === 1 && largest.from === largest.to)) {
         return undefined;
     }
-    const to = loads.lastKeyWithin(largest.from, largest.to, excess);
-    return to === largest.to && ranges.filter(({ target }) => target === holding.target.id).length === 1
-        ? { from: largest.from, to: Math.max(largest.from, to - 1) }
-        : { from: largest.from, to };
+    const { from, to } = largest;
+    // One key stays, so that a target isn't emptied for the sake of balance.
+    const lowest = own.length === 1 ? from + 1 : from;
+    const highest = own.length === 1 ? to - 1 : to;
+    const pieces = [
+        { from, to: loads.lastKeyWithin(from, highest, wanted) },
+        { from: loads.firstKeyWithin(lowest, to, wanted), to },
+    ];
+    const fitting = pieces.filter(piece => loadOf(piece) <= wanted).sort((a, b) => loadOf(b) - loadOf(a));
+    return fitting[0] ?? pieces.sort((a, b) => loadOf(a) - loadOf(b))[0];
 };
 
 /** Gives targets that have joined a share of the keys of those with the highest load. */
@@ -191,7 +208,7 @@
     wanted: number,
     loads: KeyLoads,
 ): KeyMove[] => {
-    const piece = excessPiece(ranges, source, wanted, loads);
+    const piece = pieceOf(ranges, source, wanted, loads);
     if (piece === undefined) {
         return [];
     }
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -109,7 +109,9 @@
 
     private async follow(): Promise<FollowerStep> {
         const { store, table, followed, logger } = this.options;
-        const changes = await store.changes(table, this.position ?? 0, CHANGES_WAIT_MS);
+        // While the store fails, calls that it needn't hold show its return soonest.
+        const waitMs = this.isFailing ? 0 : CHANGES_WAIT_MS;
+        const changes = await store.changes(table, this.position ?? 0, waitMs);
         if (changes.isErr()) {
             return this.failed(changes.error);
         }
--- /dev/null
+++ b/test/support/memoryRowStore.ts
@@ -0,0 +1,104 @@
+import { err, ok, type Result } from "neverthrow";
+import type { PlatformError } from "../../src/process/platformError.js";
+import type {
+    RowStore,
+    RowTransaction,
+    StoredRow,
+    TableChanges,
+    TableSnapshot,
+    TransactionOutcome,
+} from "../../src/process/gateway/rowStore.js";
+
+/** How the next calls of a memory store fail. */
+export type StoreFault = "down" | "answer-lost";
+
+/** A row store in memory for unit tests. Calls for changes return at once. */
+export class MemoryRowStore implements RowStore {
+    private readonly tables = new Map<string, Map<string, StoredRow>>();
+    private version = 0;
+    /** Fault of calls from now on, or `undefined`. */
+    fault: StoreFault | undefined;
+    /** Calls so far by kind. */
+    readonly calls = { snapshot: 0, row: 0, changes: 0, transact: 0 };
+    /** Whether the history is forgotten, so that calls for changes have to start anew. */
+    historyLost = false;
+
+    /** Writes a row as another writer does. */
+    put(table: string, key: string, value: unknown): void {
+        this.version++;
+        this.rowsOf(table).set(key, { key, value: Buffer.from(JSON.stringify(value)), version: this.version });
+    }
+
+    drop(table: string, key: string): void {
+        this.version++;
+        this.rowsOf(table).set(key, { key, value: undefined, version: this.version });
+    }
+
+    /** The parsed value of a row. */
+    read(table: string, key: string): unknown {
+        const value = this.rowsOf(table).get(key)?.value;
+        return value === undefined ? undefined : JSON.parse(value.toString());
+    }
+
+    snapshot(table: string): Promise<Result<TableSnapshot, PlatformError>> {
+        this.calls.snapshot++;
+        const rows = [...this.rowsOf(table).values()].filter(({ value }) => value !== undefined);
+        return this.reply(() => ({ rows, version: this.version }));
+    }
+
+    row(table: string, key: string): Promise<Result<StoredRow | undefined, PlatformError>> {
+        this.calls.row++;
+        const row = this.rowsOf(table).get(key);
+        return this.reply(() => (row?.value === undefined ? undefined : row));
+    }
+
+    changes(table: string, after: number): Promise<Result<TableChanges, PlatformError>> {
+        this.calls.changes++;
+        if (this.historyLost) {
+            this.historyLost = false;
+            return this.reply(() => ({ type: "history-lost" }));
+        }
+        const rows = [...this.rowsOf(table).values()].filter(({ version }) => version > after);
+        return this.reply(() => ({ type: "changes", rows, version: this.version }));
+    }
+
+    transact(transaction: RowTransaction): Promise<Result<TransactionOutcome, PlatformError>> {
+        this.calls.transact++;
+        if (this.fault === "down") {
+            return this.reply(() => ({ type: "conflict" }));
+        }
+        const holds = transaction.expected.every(({ table, key, version }) => {
+            const row = this.rowsOf(table).get(key);
+            return (row?.value === undefined ? 0 : row.version) === version;
+        });
+        if (!holds) {
+            return this.reply(() => ({ type: "conflict" }));
+        }
+        this.version++;
+        transaction.puts.forEach(({ table, key, value }) =>
+            this.rowsOf(table).set(key, { key, value, version: this.version }),
+        );
+        transaction.deletes?.forEach(({ table, key }) =>
+            this.rowsOf(table).set(key, { key, value: undefined, version: this.version }),
+        );
+        const committed = this.version;
+        return this.reply(() => ({ type: "committed", version: committed }));
+    }
+
+    private rowsOf(table: string): Map<string, StoredRow> {
+        const rows = this.tables.get(table) ?? new Map<string, StoredRow>();
+        this.tables.set(table, rows);
+        return rows;
+    }
+
+    private reply<Value>(value: () => Value): Promise<Result<Value, PlatformError>> {
+        switch (this.fault) {
+            case "down":
+                return Promise.resolve(err({ type: "platform-unavailable", detail: "down" }));
+            case "answer-lost":
+                return Promise.resolve(err({ type: "platform-unknown", detail: "no answer" }));
+            default:
+                return Promise.resolve(ok(value()));
+        }
+    }
+}
--- /dev/null
+++ b/test/support/silentLogger.ts
@@ -0,0 +1,9 @@
+import type { Logger } from "../../src/process/logger.js";
+
+/** A logger that writes nothing. */
+export const SILENT_LOGGER: Logger = {
+    debug: () => undefined,
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+};
