--- /dev/null
+++ b/src/process/gateway/__tests__/crashSuspects.test.ts
@@ -0,0 +1,78 @@
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
+import type { GatewayCall } from "../../../request/gatewayCall.js";
+import { CRASH_ROW_PREFIX, CrashSuspects } from "../crashSuspects.js";
+
+const call = (url: string): GatewayCall => ({
+    method: "GET",
+    url,
+    host: "shop.example",
+    headers: [],
+    body: Buffer.alloc(0),
+    requestId: Math.random().toString(),
+    deadlineMs: 1_000,
+    key: 1,
+    arrivedAt: 0,
+});
+
+const createSuspects = (clock: ManualClock, instance: string, peers: CrashSuspects[] = []) => {
+    const ownRow = `${CRASH_ROW_PREFIX}${instance}`;
+    const suspects: CrashSuspects = new CrashSuspects({
+        clock,
+        logger: SILENT_LOGGER,
+        ownRow,
+        publish: value => peers.forEach(peer => peer.rowChanged({ key: ownRow, value, version: 1 })),
+    });
+    return suspects;
+};
+
+const crash = (suspects: CrashSuspects, url: string, target: string) => {
+    suspects.broke(call(url), target);
+    suspects.targetEnded(target);
+};
+
+describe("CrashSuspects", () => {
+    it("refuses a request after three crashes that different instances saw", () => {
+        const clock = new ManualClock();
+        const last = createSuspects(clock, "a3");
+        const first = createSuspects(clock, "a1", [last]);
+        const second = createSuspects(clock, "a2", [last]);
+        crash(first, "/poison", "t1");
+        crash(second, "/poison", "t2");
+        expect(last.isConvicted(call("/poison"))).toBe(false);
+        crash(last, "/poison", "t3");
+        expect(last.isConvicted(call("/poison"))).toBe(true);
+        expect(last.isConvicted(call("/other"))).toBe(false);
+    });
+
+    it("doesn't suspect a request whose target lives on after a broken answer", () => {
+        const clock = new ManualClock();
+        const suspects = createSuspects(clock, "a1");
+        for (let round = 0; round < 5; round++) {
+            suspects.broke(call("/lost-answer"), "t1");
+            clock.advance(5_000);
+            suspects.targetEnded("t1");
+        }
+        expect(suspects.isConvicted(call("/lost-answer"))).toBe(false);
+    });
+
+    it("counts a crash once that several instances saw", () => {
+        const clock = new ManualClock();
+        const last = createSuspects(clock, "a4");
+        for (const instance of ["a1", "a2", "a3"]) {
+            crash(createSuspects(clock, instance, [last]), "/busy", "t1");
+        }
+        crash(last, "/busy", "t1");
+        expect(last.isConvicted(call("/busy"))).toBe(false);
+    });
+
+    it("clears a neighbour of a crash when it is answered", () => {
+        const clock = new ManualClock();
+        const suspects = createSuspects(clock, "a1");
+        for (const target of ["t1", "t2", "t3", "t4"]) {
+            crash(suspects, "/neighbour", target);
+            suspects.answered(call("/neighbour"));
+        }
+        expect(suspects.isConvicted(call("/neighbour"))).toBe(false);
+    });
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import { RetryBudget } from "../retryBudget.js";
 import { AssignerLease } from "./assignerLease.js";
 import { ConfigKeeper, type ConfigProblem } from "./configKeeper.js";
+import { CRASH_ROW_PREFIX, CrashSuspects } from "./crashSuspects.js";
 import { GatewayTarget } from "./gatewayTarget.js";
 import { ASSIGNMENT_TABLE, KeyAssigner } from "./keyAssigner.js";
 import { keyAssignmentSchema, KeyMap } from "./keyMap.js";
@@ -28,8 +29,16 @@
 import type { TargetEntry } from "./targetEntry.js";
 import { TargetPlacement } from "./targetPlacement.js";
 
+/** Time for which the store holds calls for changes of configs and targets, which are in force within seconds; in milliseconds. */
+const RULES_WAIT_MS = 4_000;
+/** The same for rows that instances share. A stale owner is noticed by its answers, so these calls may be rarer. */
+const SHARED_WAIT_MS = 12_000;
 /** Pause between two reads of changes of targets, in milliseconds; changes within it cost one call together. */
-const TARGET_CHANGES_PAUSE_MS = 600;
+const TARGET_CHANGES_PAUSE_MS = 800;
+/** The same for the instance that assigns keys. */
+const ASSIGNER_CHANGES_PAUSE_MS = 150;
+/** The same for the rows that instances share; short, as requests for moved keys fail meanwhile. */
+const SHARED_CHANGES_PAUSE_MS = 40;
 /** Time without an answer of the store after which it counts as out of reach, in milliseconds. */
 const OUTAGE_MS = 1_000;
 const OUTAGE_CHECK_MS = 250;
@@ -102,13 +111,13 @@
     private readonly assigners = new Map<string, KeyAssigner>();
     private readonly server: GatewayServer;
     private readonly services: GatewayServices;
+    private readonly suspects: CrashSuspects;
     private readonly disposables = new DisposableStore();
     private readiness: ReadinessServer | undefined;
     private isDraining = false;
 
     constructor(private readonly options: GatewayOptions) {
         const { clock, loggers, platform, instance } = options;
-        const platformLogger = loggers("platform");
         this.config = new ConfigKeeper({
             logger: loggers("bundles"),
             onChange: lookup => {
@@ -134,40 +143,30 @@
             },
             random: Math.random,
         });
-        const follow = (
-            table: string,
-            pauseMs: number,
-            replaced: (rows: StoredRow[]) => void,
-            changed: (row: StoredRow) => void,
-        ) =>
-            new TableFollower({
-                store: platform.store,
-                table,
-                clock,
-                logger: platformLogger,
-                pauseMs,
-                followed: { replaced, changed, regained: () => this.checkOutage() },
-            });
         const { tables } = platform;
         this.followers = [
-            follow(
-                tables.config,
-                0,
-                rows => rows.forEach(row => this.configChanged(row)),
-                row => this.configChanged(row),
-            ),
-            follow(
-                tables.targets,
-                TARGET_CHANGES_PAUSE_MS,
-                rows => this.targetsListed(rows),
-                row => this.entryChanged(row),
-            ),
-            follow(
-                ASSIGNMENT_TABLE,
-                0,
-                rows => rows.forEach(row => this.assignmentChanged(row)),
-                row => this.assignmentChanged(row),
-            ),
+            this.follow({
+                table: tables.config,
+                waitMs: RULES_WAIT_MS,
+                pauseMs: () => 0,
+                replaced: rows => rows.forEach(row => this.configChanged(row)),
+                changed: row => this.configChanged(row),
+            }),
+            this.follow({
+                table: tables.targets,
+                waitMs: RULES_WAIT_MS,
+                // The assigner takes keys from leaving targets, which should not wait.
+                pauseMs: () => (this.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
+                replaced: rows => this.targetsListed(rows),
+                changed: row => this.entryChanged(row),
+            }),
+            this.follow({
+                table: ASSIGNMENT_TABLE,
+                waitMs: SHARED_WAIT_MS,
+                pauseMs: () => SHARED_CHANGES_PAUSE_MS,
+                replaced: rows => rows.forEach(row => this.sharedRowChanged(row)),
+                changed: row => this.sharedRowChanged(row),
+            }),
         ];
         this.lease = new AssignerLease({
             store: platform.store,
@@ -179,6 +178,13 @@
             lost: () => this.endAssigners(),
         });
         const log = new RequestLog(clock, loggers("callers"));
+        const crashRow = `${CRASH_ROW_PREFIX}${instance}`;
+        this.suspects = new CrashSuspects({
+            clock,
+            logger: loggers("dispatch"),
+            ownRow: crashRow,
+            publish: value => void this.publishCrashes(crashRow, value),
+        });
         this.services = {
             clock,
             place: query => this.placement.place(query),
@@ -188,8 +194,14 @@
             targetHeaders: platform.targetHeaders,
             factsOf: platform.factsOf,
             addressLost: target => this.assigners.get(target.listed.entry.service)?.targetEnded(target.listed),
-            brokeWhileRunning: () => undefined,
-            ended: (request, outcome) => log.ended(request, outcome),
+            brokeWhileRunning: (call, target) => this.suspects.broke(call, target.id),
+            refusedConnection: target => this.suspects.targetEnded(target.id),
+            ended: (request, outcome) => {
+                if (outcome.type === "answered") {
+                    this.suspects.answered(request.call);
+                }
+                log.ended(request, outcome);
+            },
         };
         this.server = createGatewayServer({
             handle: (call, reply) => this.handle(call, reply),
@@ -259,6 +271,10 @@
             reply.refuse(refuse("unknown-route", `No route leads to ${call.host}${call.url.slice(0, 80)}.`));
             return () => undefined;
         }
+        if (this.suspects.isConvicted(call)) {
+            reply.refuse(refuse("quarantined", "Targets crashed while they ran it."));
+            return () => undefined;
+        }
         const service = this.split.next(route);
         this.retriesOf(service).request();
         if (call.key !== undefined && lookup.service(service)?.keyed === true) {
@@ -283,6 +299,26 @@
         };
     }
 
+    private follow(options: {
+        table: string;
+        waitMs: number;
+        pauseMs: () => number;
+        replaced: (rows: StoredRow[]) => void;
+        changed: (row: StoredRow) => void;
+    }): TableFollower {
+        const { table, waitMs, pauseMs, replaced, changed } = options;
+        const { clock, loggers, platform } = this.options;
+        return new TableFollower({
+            store: platform.store,
+            table,
+            clock,
+            logger: loggers("platform"),
+            waitMs,
+            pauseMs,
+            followed: { replaced, changed, regained: () => this.checkOutage() },
+        });
+    }
+
     private configChanged(row: StoredRow): void {
         if (row.key === this.options.platform.tables.configKey && row.value !== undefined) {
             this.config.take(this.options.platform.decodeConfig(row.value));
@@ -311,6 +347,29 @@
         this.directory.entryGone(row.key);
     }
 
+    /** Writes what this instance saw of crashes. A lost report costs a crash more, so it isn't repeated. */
+    private async publishCrashes(key: string, value: Buffer): Promise<void> {
+        const { store } = this.options.platform;
+        const row = await store.row(ASSIGNMENT_TABLE, key);
+        if (row.isErr()) {
+            this.options.loggers("dispatch").warn("Crashes couldn't be reported.", { cause: row.error.type });
+            return;
+        }
+        const expected = [{ table: ASSIGNMENT_TABLE, key, version: row.value?.version ?? 0 }];
+        const written = await store.transact({ expected, puts: [{ table: ASSIGNMENT_TABLE, key, value }] });
+        if (written.isErr() || written.value.type !== "committed") {
+            this.options.loggers("dispatch").warn("Crashes may not have been reported.", { row: key });
+        }
+    }
+
+    private sharedRowChanged(row: StoredRow): void {
+        if (row.key.startsWith(CRASH_ROW_PREFIX)) {
+            this.suspects.rowChanged(row);
+        } else {
+            this.assignmentChanged(row);
+        }
+    }
+
     private assignmentChanged(row: StoredRow): void {
         if (row.value === undefined) {
             return;
@@ -338,6 +397,7 @@
 
     private targetChanged(listed: DirectoryTarget): void {
         if (listed.gone) {
+            this.suspects.targetEnded(listed.entry.id);
             const target = this.targets.get(listed);
             this.targets.delete(listed);
             // Requests that it still runs are answered before its connections are closed.
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -3,8 +3,6 @@
 import type { PlatformError } from "../platformError.js";
 import type { RowStore, StoredRow } from "./rowStore.js";
 
-/** Time for which the store holds a call for changes, in milliseconds. Bounds how long a silent connection goes unnoticed. */
-const CHANGES_WAIT_MS = 4_000;
 /** First pause after a failed call, in milliseconds; it doubles up to the longest, so that an outage isn't met with a flood. */
 const FIRST_PAUSE_MS = 60;
 const LONGEST_PAUSE_MS = 500;
@@ -26,7 +24,7 @@
  * view never goes back.
  *
  * @example
- * const follower = new TableFollower({ store, table: "op", clock, logger, pauseMs: 0, followed });
+ * const follower = new TableFollower({ store, table: "op", clock, logger, waitMs: 4000, pauseMs: () => 0, followed });
  * follower.start();
  */
 export class TableFollower {
@@ -43,8 +41,13 @@
             table: string;
             clock: Clock;
             logger: Logger;
+            /**
+             * Time for which the store holds a call for changes, in milliseconds. It bounds how long a connection that has
+             * gone silent goes unnoticed.
+             */
+            waitMs: number;
             /** Pause after changes, in milliseconds: changes that come together then cost one call. */
-            pauseMs: number;
+            pauseMs: () => number;
             followed: FollowedTable;
         },
     ) {
@@ -81,7 +84,7 @@
             const isListing: boolean = listing || this.position === undefined;
             const step: FollowerStep = isListing ? await this.list() : await this.follow();
             listing = step === "history-lost" || (isListing && step === "failed");
-            const pauseMs = step === "failed" ? this.failurePauseMs() : step === "changed" ? this.options.pauseMs : 0;
+            const pauseMs = step === "failed" ? this.failurePauseMs() : step === "changed" ? this.options.pauseMs() : 0;
             if (pauseMs > 0) {
                 await this.pause(pauseMs);
             }
@@ -110,7 +113,7 @@
     private async follow(): Promise<FollowerStep> {
         const { store, table, followed, logger } = this.options;
         // While the store fails, calls that it needn't hold show its return soonest.
-        const waitMs = this.isFailing ? 0 : CHANGES_WAIT_MS;
+        const waitMs = this.isFailing ? 0 : this.options.waitMs;
         const changes = await store.changes(table, this.position ?? 0, waitMs);
         if (changes.isErr()) {
             return this.failed(changes.error);
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -57,6 +57,8 @@
     addressLost(target: GatewayTarget): void;
     /** Called when a connection broke while a target may have run the request. */
     brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
+    /** Called when no process listens at a target's address. */
+    refusedConnection(target: GatewayTarget): void;
     /** Called once at the end. */
     ended(request: GatewayRequest, outcome: RequestOutcome): void;
 }
@@ -385,6 +387,9 @@
             target.unansweredCall(attempt.startedAt);
         }
         if (!attempt.wasSent) {
+            if (failure.refused) {
+                this.services.refusedConnection(target);
+            }
             this.tried.add(target);
             const text = `Target ${target.id} can't be reached (${failure.type}).`;
             this.lastRefusal = refuse("owner-unreachable", text, this.pauseSeconds());
