--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -1,6 +1,12 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as SocketServer, type AddressInfo, type Socket } from "node:net";
-import type { AnswerHead, AnswerStream, GatewayCall, GatewayReply } from "../request/gatewayCall.js";
+import {
+    isFramed,
+    type AnswerHead,
+    type AnswerStream,
+    type GatewayCall,
+    type GatewayReply,
+} from "../request/gatewayCall.js";
 import { problemOfRefusal, refuse, type Refusal } from "../request/refusal.js";
 import type { ClientLimits } from "../version/routeConfig.js";
 
@@ -198,9 +204,16 @@
             closeWhenDraining();
         };
         return {
+            canClose: () => connection.exchanges.size === 1,
             answer: (head, body) => {
                 const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
-                writeHead(head, length);
+                if (isFramed(head) || request.method === "HEAD") {
+                    writeHead(head, length);
+                } else {
+                    response.useChunkedEncodingByDefault = false;
+                    writeHead(head, undefined);
+                    response.setHeader("connection", "close");
+                }
                 response.end(body.length === 1 ? body[0] : Buffer.concat(body));
             },
             refuse: refusal => {
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -3,13 +3,14 @@
 import { refuse } from "../../request/refusal.js";
 import type { RouteLookup } from "../../version/routeLookup.js";
 import { chooseTarget, expectedMs } from "./chooseTarget.js";
+import { decideAdmission } from "./decideAdmission.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import type { KeyMap } from "./keyMap.js";
 
 /** Pause for callers whose key has no owner, in seconds; owners are found within a few tenths of a second. */
 const NO_OWNER_PAUSE_S = 0.35;
-/** Pause for callers when all targets are full, in seconds. */
-const FULL_PAUSE_S = 0.25;
+/** Differences of deadlines up to this share of the longest one don't show a second attempt. */
+const SAME_DEADLINE_SHARE = 0.02;
 /** Size of an answer assumed before one was seen, in kilobytes. */
 const INITIAL_ANSWER_KB = 2;
 const INITIAL_BULK_ANSWER_KB = 64;
@@ -22,6 +23,8 @@
 /** Where requests go, by what this instance knows now. */
 export class TargetPlacement {
     private readonly answerKb = new Map<string, number>();
+    /** Longest deadline that callers stated, by route, in milliseconds. */
+    private readonly longestDeadline = new Map<string, number>();
 
     constructor(
         private readonly view: {
@@ -104,12 +107,31 @@
             : this.unlessFull(chosen.target, query);
     }
 
-    /** A request that would be answered too late is refused now, so that its caller can come back in time. */
-    private unlessFull(target: GatewayTarget, { leftMs }: PlacementQuery): Placement {
-        const neededMs = expectedMs(target.candidate());
-        return neededMs > leftMs
-            ? this.refusal("overloaded", `Target ${target.id} needs about ${Math.round(neededMs)} ms.`, FULL_PAUSE_S)
-            : { type: "target", target };
+    /** Time since the caller's first attempt: callers state what is left of the time that they started with. */
+    private elapsedMs({ call, route }: PlacementQuery): number {
+        const longest = Math.max(this.longestDeadline.get(route.name) ?? 0, call.deadlineMs ?? 0);
+        this.longestDeadline.set(route.name, longest);
+        const elapsedMs = longest - (call.deadlineMs ?? longest);
+        return elapsedMs > longest * SAME_DEADLINE_SHARE ? elapsedMs : 0;
+    }
+
+    private unlessFull(target: GatewayTarget, query: PlacementQuery): Placement {
+        const candidate = target.candidate();
+        const neededMs = expectedMs(candidate);
+        const admission = decideAdmission({
+            expectedMs: neededMs,
+            serviceMs: candidate.serviceMs,
+            leftMs: query.leftMs,
+            elapsedMs: this.elapsedMs(query),
+            targetLatencyMs: query.route.targetLatencyMs,
+        });
+        return admission.type === "admit"
+            ? { type: "target", target }
+            : this.refusal(
+                  "overloaded",
+                  `Target ${target.id} needs about ${Math.round(neededMs)} ms.`,
+                  admission.pauseMs / 1_000,
+              );
     }
 
     private refusal(kind: "no-owner" | "owner-unreachable" | "overloaded", text: string, pauseS: number): Placement {
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -45,10 +45,26 @@
     headers: Header[];
 }
 
+/**
+ * Whether an answer states where it ends, so that a part of it can't be taken for the whole.
+ *
+ * @example
+ * isFramed({ status: 200, headers: [{ name: "content-length", value: "4" }] }); // true
+ */
+export const isFramed = ({ status, headers }: AnswerHead): boolean =>
+    status === 204 || status === 304 || headers.some(({ name }) => FRAMING_HEADERS.has(name.toLowerCase()));
+
+const FRAMING_HEADERS = new Set(["content-length", "transfer-encoding"]);
+
 /** The caller's side of a request. Exactly one of `answer`, `refuse` and `stream` is called, unless the caller has gone. */
 export interface GatewayReply {
-    /** Sends a whole answer. */
+    /**
+     * Sends an answer. One whose length the target didn't state is ended by closing the connection, as it may have been
+     * broken off: a length would vouch for it.
+     */
     answer(head: AnswerHead, body: Buffer[]): void;
+    /** Whether the connection can be closed behind this answer, because no other request is under way on it. */
+    canClose(): boolean;
     refuse(refusal: Refusal): void;
     /** Starts an answer whose end isn't there yet. */
     stream(head: AnswerHead, onDrain: () => void): AnswerStream;
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -3,8 +3,16 @@
 import type { Clock, TimerCancellation } from "../process/clock.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Route } from "../version/routeConfig.js";
+import { pauseFor } from "../process/gateway/decideAdmission.js";
 import { decideAfterAttempt, type AttemptEnd } from "./decideAfterAttempt.js";
-import type { AnswerFacts, AnswerHead, AnswerStream, GatewayCall, GatewayReply } from "./gatewayCall.js";
+import {
+    isFramed,
+    type AnswerFacts,
+    type AnswerHead,
+    type AnswerStream,
+    type GatewayCall,
+    type GatewayReply,
+} from "./gatewayCall.js";
 import { refuse, type Refusal } from "./refusal.js";
 
 /** Time that an answer needs on its way to the caller, in milliseconds; the final answer is due that much earlier. */
@@ -17,6 +25,8 @@
 const REPEATABLE_IDLE_MS = 8_000;
 /** Longest wait for a new owner of a key when the known one has given it up, in milliseconds. */
 const OWNER_WAIT_MS = 250;
+/** Share of a route's aim that the work itself is assumed to take. */
+const EXPECTED_SERVICE_SHARE = 0.25;
 /** Share of the time allowed after which an idempotent request without any answer is sent to another target. */
 const SILENCE_SHARE = 0.5;
 
@@ -366,6 +376,11 @@
         if (this.isDone) {
             return;
         }
+        if (!isFramed(head) && this.route.repeatability === "idempotent" && !this.reply.canClose()) {
+            // The connection would have to be closed with other requests under way on it.
+            this.next(attempt, "lost");
+            return;
+        }
         if (head.status >= 500) {
             target.failed();
             this.next(attempt, "failed", () => this.deliver(head, chunks));
@@ -433,10 +448,12 @@
         }
     }
 
-    /** Pause that a caller is told, in seconds: part of the time left, spread so that callers don't return together. */
+    /** Pause that a caller is told, in seconds, spread so that callers don't return together. */
     private pauseSeconds(): number {
-        const spread = 0.6 + 0.8 * Math.random();
-        return Math.max(0.05, Math.min(0.3, this.leftMs() / 5_000)) * spread;
+        const { targetLatencyMs } = this.route;
+        const spentMs = this.services.clock.monotonicMs() - this.call.arrivedAt;
+        const spread = 0.7 + 0.6 * Math.random();
+        return (pauseFor(targetLatencyMs - spentMs, targetLatencyMs * EXPECTED_SERVICE_SHARE) / 1_000) * spread;
     }
 
     private expire(): void {
--- a/test/failure/gatewayAnswers.test.ts
+++ b/test/failure/gatewayAnswers.test.ts
@@ -93,6 +93,9 @@
         );
         const got = await request("GET", "/read/1");
         expect([got.status, got.body]).toEqual([200, "whole"]);
+        // A length would vouch for an answer that may have been broken off.
+        expect(got.head).not.toMatch(/content-length|transfer-encoding/i);
+        expect(got.head).toMatch(/connection: close/i);
     });
 
     it("drops a connection on which bytes came that nobody asked for", async () => {
--- a/test/support/gatewayWorld.ts
+++ b/test/support/gatewayWorld.ts
@@ -156,7 +156,10 @@
             ...(body === "" ? [] : [`Content-Length: ${body.length}`]),
             ...headers,
         ];
-        const text = await this.exchange(`${head.join("\r\n")}\r\n\r\n${body}`, received => isWhole(received));
+        const text = await this.exchange(
+            `${head.join("\r\n")}\r\n\r\n${body}`,
+            received => /content-length/i.test(received) && isWhole(received),
+        );
         return parseAnswer(text);
     }
 
