Show the age of the lease by the store's clock, keep an assigner's knowledge over outages

Ranges now carry the address of their owner, which is asked to release, and calls name the target they are for.

--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -6,13 +6,14 @@
 
 const createLease = (store: MemoryRowStore, clock: ManualClock, instance: string, incarnation = instance) => {
     const steps: string[] = [];
+    store.storeMs = () => clock.monotonicMs() + 5_000_000;
     const lease = new AssignerLease({
         store,
         instance,
         incarnation,
         clock,
         logger: SILENT_LOGGER,
-        gained: () => steps.push("gained"),
+        gained: isContinuous => steps.push(isContinuous ? "gained again" : "gained"),
         lost: () => steps.push("lost"),
         random: () => 0.5,
     });
@@ -60,6 +61,39 @@
         expect(steps).toEqual(["gained", "lost"]);
     });
 
+    it("shows its age to an instance that looks for the first time", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const first = createLease(store, clock, "a1");
+        first.lease.start();
+        await advanceInSteps(clock, 3_000);
+        first.lease.dispose();
+        await advanceInSteps(clock, LEASE_MS + 200);
+        const second = createLease(store, clock, "a2");
+        second.lease.start();
+        await advanceInSteps(clock, 100);
+        expect(second.lease.isHeld()).toBe(true);
+    });
+
+    it("tells a holder that gets it again whether another instance had it meanwhile", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const first = createLease(store, clock, "a1");
+        first.lease.start();
+        await advanceInSteps(clock, 1_500);
+        store.fault = "down";
+        await advanceInSteps(clock, LEASE_MS + 500);
+        store.fault = undefined;
+        await advanceInSteps(clock, 1_000);
+        expect(first.steps).toEqual(["gained", "lost", "gained again"]);
+        store.fault = "down";
+        await advanceInSteps(clock, LEASE_MS + 500);
+        store.fault = undefined;
+        store.put(LEASE_TABLE, LEASE_KEY, { instance: "a2", incarnation: "a2", renewal: 1 });
+        await advanceInSteps(clock, 15_000);
+        expect(first.steps.slice(3)).toEqual(["lost", "gained"]);
+    });
+
     it("doesn't count on a renewal whose answer was lost, and goes on with the row that it left", async () => {
         const store = new MemoryRowStore();
         const clock = new ManualClock();
--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -5,7 +5,7 @@
 import { LEASE_KEY, LEASE_TABLE } from "../assignerLease.js";
 import { ASSIGNMENT_TABLE, KeyAssigner } from "../keyAssigner.js";
 import { KEY_COUNT, type KeyAssignment } from "../keyMap.js";
-import type { GrantReply, OwnershipCalls, ReleaseReply } from "../ownershipCalls.js";
+import type { CalledTarget, GrantReply, OwnershipCalls, ReleaseReply } from "../ownershipCalls.js";
 import type { DirectoryTarget } from "../targetDirectory.js";
 
 const HOLD_MS = 10_000;
@@ -19,7 +19,10 @@
 
     constructor(private readonly clock: ManualClock) {}
 
-    grant(address: string, grant: { from: number; to: number; fence: number; holdMs: number }): Promise<GrantReply> {
+    grant(
+        { address }: CalledTarget,
+        grant: { from: number; to: number; fence: number; holdMs: number },
+    ): Promise<GrantReply> {
         if (this.silent.has(address)) {
             return Promise.resolve({ type: "unanswered", detail: "silent" });
         }
@@ -35,7 +38,7 @@
         return Promise.resolve({ type: "granted" });
     }
 
-    release(address: string, keys: { from: number; to: number; fence: number }): Promise<ReleaseReply> {
+    release({ address }: CalledTarget, keys: { from: number; to: number; fence: number }): Promise<ReleaseReply> {
         if (this.silent.has(address)) {
             return Promise.resolve({ type: "unanswered", detail: "silent" });
         }
@@ -77,7 +80,7 @@
     const clock = new ManualClock();
     store.put(LEASE_TABLE, LEASE_KEY, { instance: "a1", incarnation: "a1", renewal: 1 });
     const leaseRow = (await store.row(LEASE_TABLE, LEASE_KEY))._unsafeUnwrap();
-    const lease = { held: true, isHeld: () => lease.held, version: leaseRow?.version ?? 0 };
+    const lease = { held: true, isHeld: () => lease.held, version: leaseRow.row?.version ?? 0 };
     const calls = new GrantedTargets(clock);
     let targets = ids.map(id => listed(id));
     const create = () =>
--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -16,7 +16,7 @@
 const apply = (ranges: KeyRange[], moves: ReturnType<typeof planMoves>): KeyRange[] =>
     moves.reduce(
         (result, { from, to, target: owner }) =>
-            replaceRange(result, { from, to, target: owner, startedAtMs: 1, fence: 1 }),
+            replaceRange(result, { from, to, target: owner, startedAtMs: 1, address: "", fence: 1 }),
         ranges,
     );
 
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -8,12 +8,12 @@
 export const LEASE_TABLE = "sassafrasloom-lease";
 export const LEASE_KEY = "assigner";
 /** Time for which a written lease holds, in milliseconds. Several renewals may fail within it. */
-export const LEASE_MS = 4_000;
+export const LEASE_MS = 3_500;
 /** Time between two renewals, in milliseconds. */
-const RENEWAL_MS = 1_200;
+const RENEWAL_MS = 1_000;
 /**
- * Time between two looks of the others at the lease, in milliseconds. Longer than the lease, so that a row that hasn't
- * changed between two looks is a lease that has ended; the looks of several instances fall at different times.
+ * Time between two looks of the others at the lease, in milliseconds. One look shows the age of the lease, and the looks of
+ * several instances fall at different times.
  */
 const WATCH_MS = 5_000;
 /** Pause after a call that failed, in milliseconds. */
@@ -23,13 +23,27 @@
 /** Change between the time of day and the steady clock that is taken for a suspension, in milliseconds. */
 const SUSPENSION_MS = 250;
 
-const leaseSchema = z.object({ instance: z.string(), incarnation: z.string(), renewal: z.number().int() });
+const leaseSchema = z.object({
+    instance: z.string(),
+    incarnation: z.string(),
+    renewal: z.number().int(),
+    /** The store's clock at the time of the write at the latest, in milliseconds; missing when the writer didn't know it. */
+    writtenMs: z.number().optional(),
+});
 type Lease = z.infer<typeof leaseSchema>;
 
+/** The store's clock at a moment of this process, at the latest. */
+interface StoreTime {
+    storeMs: number;
+    at: number;
+    offsetMs: number;
+}
+
 /**
  * The lease of the one instance that assigns keys. It is a row of the store that its holder rewrites; another instance
  * takes it over when the row hasn't changed for the lease's time. The holder counts the time from before its write, the
- * others from after their reading, so that two never hold it at once.
+ * others from the store's clock at that write at the latest, or from their first reading of the row, so that two never
+ * hold it at once.
  *
  * A steady clock may stand still while a machine is suspended, so a change of the time of day against it ends the lease
  * for the holder until the next renewal.
@@ -46,6 +60,9 @@
     private isHolder = false;
     private renewal = 0;
     private wallOffsetMs: number;
+    private storeTime: StoreTime | undefined;
+    /** Version of the row when this process last held the lease. */
+    private heldVersion: number | undefined;
     private disposed = false;
     private cancelTimer: TimerCancellation = () => undefined;
 
@@ -57,7 +74,9 @@
             incarnation: string;
             clock: Clock;
             logger: Logger;
-            gained: () => void;
+            /** Called when the lease was got; `isContinuous` when nobody else has held it since this process last did. */
+            gained: (isContinuous: boolean) => void;
+            /** Called when the lease has ended for this process, which may get it again. */
             lost: () => void;
             random?: () => number;
         },
@@ -89,7 +108,7 @@
         this.disposed = true;
         this.cancelTimer();
         if (this.isHolder && this.isHeld()) {
-            this.step("lost");
+            this.loseIt();
             const name = { table: LEASE_TABLE, key: LEASE_KEY };
             await this.options.store.transact({
                 expected: [{ ...name, version: this.version }],
@@ -116,21 +135,25 @@
     /** Looks at the lease and takes it when it has ended. Returns the pause until the next look. */
     private async watch(): Promise<number> {
         const { store, clock, instance } = this.options;
-        const row = await store.row(LEASE_TABLE, LEASE_KEY);
-        if (row.isErr()) {
+        const sentAt = clock.monotonicMs();
+        const reading = await store.row(LEASE_TABLE, LEASE_KEY);
+        if (reading.isErr()) {
             return FAILURE_PAUSE_MS * 2;
         }
+        const { row, storeMs } = reading.value;
+        this.noteStoreTime(storeMs, sentAt);
         const now = clock.monotonicMs();
-        const version = row.value?.version ?? 0;
-        const lease = row.value?.value === undefined ? undefined : this.parse(row.value.value);
-        if (version !== this.rowVersion) {
-            this.rowVersion = version;
+        const lease = row?.value === undefined ? undefined : this.parse(row.value);
+        if ((row?.version ?? 0) !== this.rowVersion) {
+            this.adoptLateWrite(lease, row?.version);
+            this.rowVersion = row?.version ?? 0;
             this.rowSeenAt = now;
         }
         // One process runs under an instance's name at a time, so an earlier one under this name has ended.
         const isFree = lease === undefined || lease.instance === instance;
-        const endsInMs = this.rowSeenAt + LEASE_MS * (1 + CLOCK_DRIFT) - now;
-        if (isFree || endsInMs <= 0) {
+        const seenMs = now - this.rowSeenAt;
+        const writtenAgoMs = lease?.writtenMs === undefined ? 0 : storeMs - lease.writtenMs;
+        if (isFree || Math.max(seenMs, writtenAgoMs) > LEASE_MS * (1 + CLOCK_DRIFT)) {
             return this.write();
         }
         return WATCH_MS * (0.9 + 0.2 * (this.options.random ?? Math.random)());
@@ -140,15 +163,18 @@
         const { store, clock, instance, incarnation } = this.options;
         const sentAt = clock.monotonicMs();
         const offsetMs = this.offsetMs();
-        const lease: Lease = { instance, incarnation, renewal: ++this.renewal };
+        const writtenMs = this.storeMsAtLatest(sentAt, offsetMs);
+        const lease: Lease = { instance, incarnation, renewal: ++this.renewal, writtenMs };
         const name = { table: LEASE_TABLE, key: LEASE_KEY };
+        const expectedVersion = this.version;
         const written = await store.transact({
-            expected: [{ ...name, version: this.version }],
+            expected: [{ ...name, version: expectedVersion }],
             puts: [{ ...name, value: Buffer.from(JSON.stringify(lease)) }],
         });
         if (written.isOk() && written.value.type === "committed") {
+            this.noteStoreTime(written.value.storeMs, sentAt);
             this.rowVersion = written.value.version;
-            this.hold(sentAt, offsetMs);
+            this.hold(sentAt, offsetMs, expectedVersion);
             return RENEWAL_MS;
         }
         if (written.isOk()) {
@@ -160,46 +186,78 @@
 
     /** After a conflict: an earlier write of this process whose answer was lost may be what is there. */
     private async readBack(): Promise<number> {
-        const { store, instance } = this.options;
-        const row = await store.row(LEASE_TABLE, LEASE_KEY);
-        if (row.isErr()) {
+        const { store, incarnation, logger } = this.options;
+        const reading = await store.row(LEASE_TABLE, LEASE_KEY);
+        if (reading.isErr()) {
             this.checkLost();
             return FAILURE_PAUSE_MS;
         }
-        const lease = row.value?.value === undefined ? undefined : this.parse(row.value.value);
-        this.rowVersion = row.value?.version ?? 0;
-        this.rowSeenAt = this.options.clock.monotonicMs();
-        if (lease?.instance === instance) {
+        const { row } = reading.value;
+        const lease = row?.value === undefined ? undefined : this.parse(row.value);
+        if (lease?.incarnation === incarnation) {
             // When the earlier write was done isn't known, so it doesn't prolong the lease; another write does.
+            this.adoptLateWrite(lease, row?.version);
+            this.rowVersion = row?.version ?? 0;
             return 0;
         }
-        this.options.logger.info("Another instance holds the lease for assigning keys.", { holder: lease?.instance });
+        this.rowVersion = row?.version ?? 0;
+        this.rowSeenAt = this.options.clock.monotonicMs();
+        logger.info("Another instance holds the lease for assigning keys.", { holder: lease?.instance });
         this.heldUntil = -Infinity;
         this.checkLost();
         return WATCH_MS;
     }
 
-    private hold(sentAt: number, offsetMs: number): void {
+    /** A write of this process that was done without an answer doesn't interrupt its holding of the lease. */
+    private adoptLateWrite(lease: Lease | undefined, version: number | undefined): void {
+        if (lease?.incarnation === this.options.incarnation && this.heldVersion === this.rowVersion) {
+            this.heldVersion = version;
+        }
+    }
+
+    /** Learns the store's clock from an answer to a call that was sent at `sentAt`. */
+    private noteStoreTime(storeMs: number, sentAt: number): void {
+        // The store read its clock before the answer came, but not before the call was sent.
+        this.storeTime = { storeMs, at: sentAt, offsetMs: this.offsetMs() };
+    }
+
+    /** The store's clock now at the latest; `undefined` when the own clock may have stood still meanwhile. */
+    private storeMsAtLatest(now: number, offsetMs: number): number | undefined {
+        const { storeTime } = this;
+        if (storeTime === undefined || Math.abs(storeTime.offsetMs - offsetMs) > SUSPENSION_MS) {
+            return undefined;
+        }
+        return Math.ceil(storeTime.storeMs + (now - storeTime.at) * (1 + CLOCK_DRIFT));
+    }
+
+    private hold(sentAt: number, offsetMs: number, expectedVersion: number): void {
+        const isContinuous = this.heldVersion !== undefined && this.heldVersion === expectedVersion;
+        this.heldVersion = this.rowVersion;
         if (Math.abs(this.offsetMs() - offsetMs) > SUSPENSION_MS) {
             return;
         }
         this.wallOffsetMs = offsetMs;
         this.heldUntil = sentAt + LEASE_MS;
         if (!this.isHolder) {
-            this.step("gained");
+            this.isHolder = true;
+            this.options.logger.info("The lease for assigning keys was gained.", {
+                version: this.rowVersion,
+                isContinuous,
+            });
+            this.options.gained(isContinuous);
         }
     }
 
     private checkLost(): void {
         if (this.isHolder && !this.isHeld()) {
-            this.step("lost");
+            this.loseIt();
         }
     }
 
-    private step(change: "gained" | "lost"): void {
-        this.isHolder = change === "gained";
-        this.options.logger.info(`The lease for assigning keys was ${change}.`, { version: this.rowVersion });
-        this.options[change]();
+    private loseIt(): void {
+        this.isHolder = false;
+        this.options.logger.info("The lease for assigning keys was lost.", { version: this.rowVersion });
+        this.options.lost();
     }
 
     private parse(value: Buffer): Lease | undefined {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { AssignerLease } from "./assignerLease.js";
 import { ConfigKeeper, type ConfigProblem } from "./configKeeper.js";
 import { CRASH_ROW_PREFIX, CrashSuspects } from "./crashSuspects.js";
+import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { GatewayTarget } from "./gatewayTarget.js";
 import { ASSIGNMENT_TABLE, KeyAssigner } from "./keyAssigner.js";
 import { keyAssignmentSchema, KeyMap } from "./keyMap.js";
@@ -80,8 +81,8 @@
     readiness: { host: string; port: number };
     /** Time that the process is given to end, in milliseconds. */
     graceMs: number;
-    /** Time for which targets are granted keys, in milliseconds. */
-    holdMs: number;
+    /** Longest time for which targets may be granted keys, in milliseconds. */
+    maxHoldMs: number;
     platform: GatewayPlatform;
     clock: Clock;
     loggers: (part: LogPart) => Logger;
@@ -174,8 +175,16 @@
             incarnation: randomUUID(),
             clock,
             logger: loggers("ownership"),
-            gained: () => this.updateAssigners(),
-            lost: () => this.endAssigners(),
+            gained: isContinuous => {
+                if (isContinuous) {
+                    this.assigners.forEach(assigner => void assigner.resume());
+                } else {
+                    this.endAssigners();
+                }
+                this.updateAssigners();
+            },
+            // Assigners do nothing without the lease, and go on with what they know when nobody else had it meanwhile.
+            lost: () => undefined,
         });
         const log = new RequestLog(clock, loggers("callers"));
         const crashRow = `${CRASH_ROW_PREFIX}${instance}`;
@@ -359,7 +368,7 @@
             this.options.loggers("dispatch").warn("Crashes couldn't be reported.", { cause: row.error.type });
             return;
         }
-        const expected = [{ table: ASSIGNMENT_TABLE, key, version: row.value?.version ?? 0 }];
+        const expected = [{ table: ASSIGNMENT_TABLE, key, version: row.value.row?.version ?? 0 }];
         const written = await store.transact({ expected, puts: [{ table: ASSIGNMENT_TABLE, key, value }] });
         if (written.isErr() || written.value.type !== "committed") {
             this.options.loggers("dispatch").warn("Crashes may not have been reported.", { row: key });
@@ -453,7 +462,7 @@
         if (!this.lease.isHeld() || lookup === undefined) {
             return;
         }
-        const { platform, clock, loggers, holdMs } = this.options;
+        const { platform, clock, loggers, maxHoldMs } = this.options;
         for (const { name, keyed } of lookup.config.services) {
             if (!keyed || this.assigners.has(name)) {
                 continue;
@@ -468,7 +477,7 @@
                 targets: () => [...this.directory.all()].filter(({ entry }) => entry.service === name),
                 measure: listed => this.targetOf(listed).measure(),
                 weights: () => this.trafficOf(name).weights(),
-                holdMs,
+                holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
             });
             this.assigners.set(name, assigner);
             void assigner.start();
--- a/src/process/gateway/grantRecord.ts
+++ b/src/process/gateway/grantRecord.ts
@@ -1,5 +1,5 @@
 /** Time for which keys are granted, in milliseconds. Long, so that owners outlive cuts and outages of the store. */
-export const DEFAULT_HOLD_MS = 10_000;
+export const DEFAULT_HOLD_MS = 8_000;
 /** How much slower than ours a target's clock may run. */
 const TARGET_CLOCK_DRIFT = 0.02;
 /** Time for which a target that didn't answer isn't given further keys, in milliseconds. */
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -15,7 +15,7 @@
 /** Time between two looks at what is to be moved, in milliseconds. */
 const PLAN_PERIOD_MS = 200;
 /** Time between two renewals of the grants, in milliseconds. */
-const RENEWAL_MS = 1_500;
+const RENEWAL_MS = 1_200;
 /** Time after which a call to a target counts as unanswered, in milliseconds. */
 const GRANT_TIMEOUT_MS = 800;
 /** Time for which a release is waited for: it is answered when the longest running work has ended. In milliseconds. */
@@ -28,6 +28,8 @@
 const FIRST_ASSIGNMENT_MS = 2_500;
 /** Time for which a transaction waits for further changes, in milliseconds. Each one wakes all instances. */
 const COMMIT_LINGER_MS = 4;
+/** Time in which entries that lapsed in an outage of the store are back, in milliseconds. */
+const ENTRY_RETURN_MS = 2_300;
 /** Time in which the entry of a target that answers may return before its keys are moved, in milliseconds. */
 const RETURN_MS = 300;
 /** Least time between two moves for balance, in milliseconds; the loads need time to show the last ones' effect. */
@@ -122,15 +124,15 @@
 
     /** Reads the assignment that the last assigner left, and begins. */
     async start(): Promise<void> {
-        while (!this.disposed && !this.isLoaded) {
-            await this.load();
-            if (!this.isLoaded) {
-                await this.pause(REPEAT_PAUSE_MS);
-            }
+        while (!this.disposed && !(await this.load())) {
+            await this.pause(REPEAT_PAUSE_MS);
         }
         if (this.disposed) {
             return;
         }
+        this.isLoaded = true;
+        const { clock, holdMs = DEFAULT_HOLD_MS } = this.options;
+        this.inheritedUntil = new GrantRecord(clock.monotonicMs(), holdMs).endsAt();
         this.renewAll();
         this.disposables.add(repeat(this.options.clock, PLAN_PERIOD_MS, () => this.plan()));
         this.disposables.add(repeat(this.options.clock, RENEWAL_MS, () => this.renewAll()));
@@ -152,29 +154,40 @@
         }
     }
 
-    private async load(): Promise<void> {
-        const { store, service, logger, clock } = this.options;
-        const row = await store.row(ASSIGNMENT_TABLE, service);
-        if (row.isErr()) {
-            return;
+    /**
+     * Goes on after this instance had no lease for a while and nobody else did. What is known of grants still holds; a
+     * transaction whose outcome was open may have been done.
+     */
+    async resume(): Promise<void> {
+        if (this.isLoaded) {
+            await this.load();
+            this.renewAll();
         }
-        this.rowVersion = row.value?.version ?? 0;
-        if (row.value?.value !== undefined) {
-            const parsed = keyAssignmentSchema.safeParse(parseJson(row.value.value.toString()));
+    }
+
+    /** Reads the row. `false` while that isn't possible. */
+    private async load(): Promise<boolean> {
+        const { store, service, logger } = this.options;
+        const reading = await store.row(ASSIGNMENT_TABLE, service);
+        if (reading.isErr()) {
+            return false;
+        }
+        const { row } = reading.value;
+        if (row?.value !== undefined) {
+            const parsed = keyAssignmentSchema.safeParse(parseJson(row.value.toString()));
             if (!parsed.success) {
                 logger.error("The assignment in the store can't be read; keys aren't assigned.", { service });
-                return;
+                return false;
             }
             this.assignment = parsed.data;
         }
-        this.isLoaded = true;
-        const since = clock.monotonicMs();
-        this.inheritedUntil = new GrantRecord(since, this.options.holdMs ?? DEFAULT_HOLD_MS).endsAt();
+        this.rowVersion = row?.version ?? 0;
         logger.info("Assigning keys.", {
             service,
             ranges: this.assignment.ranges.length,
             fence: this.assignment.fence,
         });
+        return true;
     }
 
     /** Until when a target may hold keys that an earlier assigner granted, in monotonic milliseconds. */
@@ -289,14 +302,12 @@
     /** Whether the former owner can be asked, or needn't be. */
     private canTake(move: KeyMove, now: number): boolean {
         const range = this.assignment.ranges.find(candidate => overlaps(candidate, move));
-        const owner = range === undefined ? undefined : this.ownerOf(range);
-        if (range === undefined || range.target === "" || owner?.ended === true) {
+        if (range === undefined || this.isFree(range, now)) {
             return true;
         }
-        if (owner === undefined) {
-            return now >= this.inheritedUntil || this.hasNewerLife(range);
-        }
-        return now >= owner.grants.endsAt() || this.mayRelease(owner, now);
+        const owner = this.ownerOf(range);
+        // An owner from before this assigner, without an entry: it may answer at the address that it had.
+        return owner === undefined ? now - this.startedAt > ENTRY_RETURN_MS : this.mayRelease(owner, now);
     }
 
     /** Whether the owner of a range has started anew since it got the keys. */
@@ -323,8 +334,8 @@
             if (taken === undefined) {
                 return;
             }
-            const { id, startedAtMs } = receiver.listed.entry;
-            const range = { from, to, target: id, startedAtMs, handover: taken.handover };
+            const { id, startedAtMs, address } = receiver.listed.entry;
+            const range = { from, to, target: id, startedAtMs, address, handover: taken.handover };
             const fence = await this.commit(range);
             if (fence === undefined) {
                 return;
@@ -351,30 +362,37 @@
     ): Promise<{ handover: string | undefined } | undefined> {
         const { calls, clock, lease } = this.options;
         const owner = this.ownerOf(range);
-        if (range.target === "" || owner === undefined || owner.ended) {
-            return { handover: undefined };
-        }
-        await owner.renewing;
+        await owner?.renewing;
         for (;;) {
             if (this.disposed || !lease.isHeld()) {
                 return undefined;
             }
-            if (owner.ended || clock.monotonicMs() >= owner.grants.endsAt()) {
+            if (this.isFree(range, clock.monotonicMs())) {
                 return { handover: undefined };
             }
-            const { address } = owner.listed.entry;
-            const reply = await calls.release(address, { from, to, fence: range.fence }, RELEASE_TIMEOUT_MS);
+            const target = { id: range.target, address: owner?.listed.entry.address ?? range.address };
+            const reply = await calls.release(target, { from, to, fence: range.fence }, RELEASE_TIMEOUT_MS);
             if (reply.type === "released") {
                 return { handover: reply.handover };
             }
             if (reply.type === "other-target") {
-                this.targetEnded(owner.listed);
-            } else {
-                await this.pause(REPEAT_PAUSE_MS);
+                return { handover: undefined };
             }
+            await this.pause(REPEAT_PAUSE_MS);
         }
     }
 
+    /** Whether nobody can hold the keys of a range any more. */
+    private isFree(range: KeyRange, now: number): boolean {
+        const owner = this.ownerOf(range);
+        if (range.target === "" || owner?.ended === true) {
+            return true;
+        }
+        return owner === undefined
+            ? now >= this.inheritedUntil || this.hasNewerLife(range)
+            : now >= owner.grants.endsAt();
+    }
+
     /** Records an owner in the store; resolves with the fencing token, or `undefined` when the lease was lost. */
     private commit(range: Omit<KeyRange, "fence">): Promise<number | undefined> {
         return new Promise(settle => {
@@ -424,14 +442,18 @@
                 this.rowVersion = written.value.version;
                 return true;
             }
-            const row = await store.row(ASSIGNMENT_TABLE, service);
-            if (row.isOk() && row.value !== undefined && row.value.version !== this.rowVersion) {
-                if (row.value.value?.equals(value) === true) {
-                    this.rowVersion = row.value.version;
+            const reading = await store.row(ASSIGNMENT_TABLE, service);
+            const row = reading.isOk() ? reading.value.row : undefined;
+            if (row !== undefined && row.version !== this.rowVersion) {
+                if (row.value?.equals(value) === true) {
+                    this.rowVersion = row.version;
                     return true;
                 }
-                logger.warn("Another instance has changed the assignment.", { service, version: row.value.version });
-                this.dispose();
+                logger.warn("The assignment has changed meanwhile; it is read anew.", {
+                    service,
+                    version: row.version,
+                });
+                await this.load();
                 return false;
             }
             await this.pause(written.isOk() ? 20 : REPEAT_PAUSE_MS);
@@ -455,7 +477,7 @@
         }
         const { from, to, fence, handover } = range;
         const { address, id } = target.listed.entry;
-        const reply = await calls.grant(address, { from, to, fence, holdMs, handover }, GRANT_TIMEOUT_MS);
+        const reply = await calls.grant({ id, address }, { from, to, fence, holdMs, handover }, GRANT_TIMEOUT_MS);
         const now = clock.monotonicMs();
         switch (reply.type) {
             case "granted":
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -19,6 +19,8 @@
     target: z.string(),
     /** Start of the owner's process in Unix milliseconds; a restarted target owns nothing. */
     startedAtMs: z.number().int(),
+    /** Address of the owner, at which the next assigner can ask it to release the keys when its entry has gone. */
+    address: z.string().default(""),
     /** Fencing token under which the owner got the keys. */
     fence: z.number().int().min(0),
     /** State that the former owner handed over, until the owner has been granted the keys. */
@@ -109,5 +111,5 @@
 export const emptyAssignment = (service: string): KeyAssignment => ({
     service,
     fence: 0,
-    ranges: [{ from: 0, to: KEY_COUNT - 1, target: "", startedAtMs: 0, fence: 0 }],
+    ranges: [{ from: 0, to: KEY_COUNT - 1, target: "", startedAtMs: 0, address: "", fence: 0 }],
 });
--- a/src/process/gateway/ownershipCalls.ts
+++ b/src/process/gateway/ownershipCalls.ts
@@ -6,6 +6,12 @@
     fence: number;
 }
 
+/** A target as it is called. */
+export interface CalledTarget {
+    id: string;
+    address: string;
+}
+
 /** Why a call to a target gave no result. */
 export type CallFailure =
     /** No process listens at the address. */
@@ -25,10 +31,10 @@
 export interface OwnershipCalls {
     /** Grants or renews keys for `holdMs` milliseconds from the arrival of the call. */
     grant(
-        address: string,
+        target: CalledTarget,
         grant: GrantedKeys & { holdMs: number; handover: string | undefined },
         timeoutMs: number,
     ): Promise<GrantReply>;
     /** Ends the ownership; the target answers when work on these keys has ended. */
-    release(address: string, keys: GrantedKeys, timeoutMs: number): Promise<ReleaseReply>;
+    release(target: CalledTarget, keys: GrantedKeys, timeoutMs: number): Promise<ReleaseReply>;
 }
--- a/src/process/gateway/rowStore.ts
+++ b/src/process/gateway/rowStore.ts
@@ -35,12 +35,20 @@
     deletes?: RowName[];
 }
 
-export type TransactionOutcome = { type: "committed"; version: number } | { type: "conflict" };
+export type TransactionOutcome =
+    /** `storeMs` is the store's steady clock in milliseconds. */
+    { type: "committed"; version: number; storeMs: number } | { type: "conflict" };
+
+/** A row, if it exists, with the store's steady clock in milliseconds at the moment of reading. */
+export interface RowReading {
+    row: StoredRow | undefined;
+    storeMs: number;
+}
 
 /** The platform's table service, as the product uses it. */
 export interface RowStore {
     snapshot(table: string): Promise<Result<TableSnapshot, PlatformError>>;
-    row(table: string, key: string): Promise<Result<StoredRow | undefined, PlatformError>>;
+    row(table: string, key: string): Promise<Result<RowReading, PlatformError>>;
     /** Waits up to `waitMs` milliseconds for a change after `after`. */
     changes(table: string, after: number, waitMs: number): Promise<Result<TableChanges, PlatformError>>;
     transact(transaction: RowTransaction): Promise<Result<TransactionOutcome, PlatformError>>;
--- a/test/support/gatewayWorld.ts
+++ b/test/support/gatewayWorld.ts
@@ -88,7 +88,7 @@
             callers: { host: "127.0.0.1", port: 0 },
             readiness: { host: "127.0.0.1", port: 0 },
             graceMs: 5_000,
-            holdMs: 10_000,
+            maxHoldMs: 10_000,
             clock: systemClock,
             loggers: () => SILENT_LOGGER,
             platform: {
--- a/test/support/memoryRowStore.ts
+++ b/test/support/memoryRowStore.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { PlatformError } from "../../src/process/platformError.js";
 import type {
+    RowReading,
     RowStore,
     RowTransaction,
     StoredRow,
@@ -16,6 +17,8 @@
 export class MemoryRowStore implements RowStore {
     private readonly tables = new Map<string, Map<string, StoredRow>>();
     private version = 0;
+    /** The store's clock in milliseconds. */
+    storeMs: () => number = () => performance.now();
     private readonly waiting = new Set<() => void>();
     /** Fault of calls from now on, or `undefined`. */
     fault: StoreFault | undefined;
@@ -47,10 +50,11 @@
         return this.reply(() => ({ rows, version: this.version }));
     }
 
-    row(table: string, key: string): Promise<Result<StoredRow | undefined, PlatformError>> {
+    row(table: string, key: string): Promise<Result<RowReading, PlatformError>> {
         this.calls.row++;
         const row = this.rowsOf(table).get(key);
-        return this.reply(() => (row?.value === undefined ? undefined : row));
+        const storeMs = this.storeMs();
+        return this.reply(() => ({ row: row?.value === undefined ? undefined : row, storeMs }));
     }
 
     async changes(table: string, after: number, waitMs: number): Promise<Result<TableChanges, PlatformError>> {
@@ -106,7 +110,8 @@
             this.rowsOf(table).set(key, { key, value: undefined, version: this.version }),
         );
         const committed = this.version;
-        return this.reply(() => ({ type: "committed", version: committed }));
+        const storeMs = this.storeMs();
+        return this.reply(() => ({ type: "committed", version: committed, storeMs }));
     }
 
     private rowsOf(table: string): Map<string, StoredRow> {
