--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -79,10 +79,28 @@
         const loads = new KeyLoads(weights);
         const targets = ["t1", "t2", "t3", "t4"].map(id => target(id, { pressure: id === "t1" ? 3 : 0.3 }));
         const before = keysOf(ranges, "t1");
-        for (let round = 0; round < 20; round++) {
+        for (let round = 0; round < 3; round++) {
             ranges = apply(ranges, planMoves({ ranges, targets, loads, balance: true }));
         }
-        expect(keysOf(ranges, "t1")).toBeLessThan(before / 3);
+        expect(before).toBeGreaterThan(1_000);
+        expect(keysOf(ranges, "t1")).toBe(1);
+    });
+
+    it("gives a busy key that fills a slow target to a fast one", () => {
+        let ranges = evenRanges(["t1", "t2", "t3", "t4"]);
+        const weights = new Float64Array(KEY_COUNT).fill(1);
+        weights[5_000] = KEY_COUNT / 2;
+        const loads = new KeyLoads(weights);
+        const targets = [
+            target("t1", { pressure: 3, capacity: 0.6 }),
+            target("t2", { capacity: 1.4 }),
+            target("t3"),
+            target("t4", { capacity: 0.6 }),
+        ];
+        for (let round = 0; round < 4; round++) {
+            ranges = apply(ranges, planMoves({ ranges, targets, loads, balance: true }));
+        }
+        expect(ranges.find(({ from, to }) => from <= 5_000 && to >= 5_000)?.target).toBe("t2");
     });
 
     it("gives a target that joins a share of the keys", () => {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -35,7 +35,7 @@
 /** The same for rows that instances share. A stale owner is noticed by its answers, so these calls may be rarer. */
 const SHARED_WAIT_MS = 12_000;
 /** Pause between two reads of changes of targets, in milliseconds; changes within it cost one call together. */
-const TARGET_CHANGES_PAUSE_MS = 800;
+const TARGET_CHANGES_PAUSE_MS = 1_100;
 /** The same for the instance that assigns keys. */
 const ASSIGNER_CHANGES_PAUSE_MS = 150;
 /** The same for the rows that instances share; short, as requests for moved keys fail meanwhile. */
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -9,7 +9,7 @@
 /** Weight of the newest report in the smoothed load. */
 const PRESSURE_WEIGHT = 0.3;
 /** Samples for which the assumed service time counts: few samples say little about a target's speed. */
-const PRIOR_SAMPLES = 12;
+const PRIOR_SAMPLES = 6;
 /** Service time assumed before the first answer, in milliseconds. */
 const INITIAL_SERVICE_MS = 100;
 /** Factor on the assumed time of a target that is still warming up. */
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -4,7 +4,15 @@
 import { parseJson } from "../parseJson.js";
 import { LEASE_KEY, LEASE_TABLE } from "./assignerLease.js";
 import { DEFAULT_HOLD_MS, GrantRecord } from "./grantRecord.js";
-import { emptyAssignment, keyAssignmentSchema, replaceRange, type KeyAssignment, type KeyRange } from "./keyMap.js";
+import {
+    emptyAssignment,
+    keyAssignmentSchema,
+    overlaps,
+    replaceRange,
+    withoutRanges,
+    type KeyAssignment,
+    type KeyRange,
+} from "./keyMap.js";
 import type { OwnershipCalls } from "./ownershipCalls.js";
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import type { RowStore } from "./rowStore.js";
@@ -27,7 +35,7 @@
 /** Time after the first target within which others are waited for before the first assignment, in milliseconds. */
 const FIRST_ASSIGNMENT_MS = 2_500;
 /** Time for which a transaction waits for further changes, in milliseconds. Each one wakes all instances. */
-const COMMIT_LINGER_MS = 4;
+const COMMIT_LINGER_MS = 15;
 /** Time in which entries that lapsed in an outage of the store are back, in milliseconds. */
 const ENTRY_RETURN_MS = 2_300;
 /** Time in which the entry of a target that answers may return before its keys are moved, in milliseconds. */
@@ -55,26 +63,6 @@
     settle: (fence: number | undefined) => void;
 }
 
-const overlaps = (first: { from: number; to: number }, second: { from: number; to: number }): boolean =>
-    first.from <= second.to && second.from <= first.to;
-
-/** The parts of a range that no other range covers. */
-const withoutRanges = (range: KeyRange, excluded: readonly { from: number; to: number }[]): KeyRange[] =>
-    excluded
-        .filter(other => overlaps(range, other))
-        .reduce<KeyRange[]>(
-            (pieces, other) =>
-                pieces.flatMap(piece =>
-                    overlaps(piece, other)
-                        ? [
-                              { ...piece, to: Math.min(piece.to, other.from - 1) },
-                              { ...piece, from: Math.max(piece.from, other.to + 1) },
-                          ].filter(({ from, to }) => from <= to)
-                        : [piece],
-                ),
-            [range],
-        );
-
 /**
  * Assigns the keys of one service while this instance holds the lease: it plans moves, takes keys from their owners,
  * records the new owner in the store and grants it the keys, and renews all grants.
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -107,6 +107,30 @@
     }, []);
 };
 
+/** Whether two ranges have a key in common. */
+export const overlaps = (first: { from: number; to: number }, second: { from: number; to: number }): boolean =>
+    first.from <= second.to && second.from <= first.to;
+
+/**
+ * The parts of a range that no other range covers.
+ *
+ * @example
+ * withoutRanges({ ...range, from: 0, to: 9 }, [{ from: 3, to: 4 }]); // 0 to 2 and 5 to 9
+ */
+export const withoutRanges = (range: KeyRange, excluded: readonly { from: number; to: number }[]): KeyRange[] =>
+    excluded.reduce(
+        (pieces, other) =>
+            pieces.flatMap(piece =>
+                overlaps(piece, other)
+                    ? [
+                          { ...piece, to: Math.min(piece.to, other.from - 1) },
+                          { ...piece, from: Math.max(piece.from, other.to + 1) },
+                      ].filter(({ from, to }) => from <= to)
+                    : [piece],
+            ),
+        [range],
+    );
+
 /** An assignment in which nobody owns any key. */
 export const emptyAssignment = (service: string): KeyAssignment => ({
     service,
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -1,4 +1,4 @@
-import { KEY_COUNT, type KeyRange } from "./keyMap.js";
+import { KEY_COUNT, withoutRanges, type KeyRange } from "./keyMap.js";
 
 /** A target as the planner sees it. */
 export interface PlannedTarget {
@@ -28,6 +28,12 @@
 const FULL_RATIO = 1.05;
 /** Pressure from which requests wait, so that uneven load costs callers time. Below it, moves would cost more than they gain. */
 export const HIGH_PRESSURE = 0.9;
+/** Share of its owner's load from which one key counts as busy. */
+const BUSY_KEY_SHARE = 0.5;
+/** Most moves at a time that make room for a busy key. */
+const MAX_ISOLATING_MOVES = 8;
+/** Capacity over that of its owner with which a target gets a busy key; the key isn't served while it moves. */
+const MUCH_FASTER = 1.35;
 /** Load over its fair share below which a new target is given keys from the others. */
 const IDLE_RATIO = 0.3;
 /** Load over its fair share up to which a new target is filled. */
@@ -175,6 +181,61 @@
     return moves;
 };
 
+/**
+ * Makes room for one key that overloads its owner: the owner's other keys go to the targets with the least load, and then
+ * the key itself to a target that is much faster. One key can't be divided, so the whole of a fast target is the most that
+ * it can get.
+ */
+const isolateBusyKey = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+    for (const holding of holdings) {
+        const { target, load, fairLoad } = holding;
+        if (
+            !target.receives ||
+            !target.releases ||
+            target.pressure < HIGH_PRESSURE ||
+            load < fairLoad * OVERLOAD_RATIO
+        ) {
+            continue;
+        }
+        const own = ranges.filter(range => range.target === target.id);
+        const busiest = busiestKey(own, loads);
+        const busyLoad = loads.of(busiest, busiest);
+        if (busyLoad < load * BUSY_KEY_SHARE || busyLoad < fairLoad) {
+            continue;
+        }
+        const others = holdings.filter(other => other !== holding && other.target.pressure < HIGH_PRESSURE);
+        const moves = own
+            .flatMap(range => withoutRanges(range, [{ from: busiest, to: busiest }]))
+            .flatMap(range => placeRange(range, target.id, others, loads));
+        if (moves.length > 0) {
+            return moves.slice(0, MAX_ISOLATING_MOVES);
+        }
+        const [fastest] = others
+            .filter(other => other.target.receives)
+            .sort((a, b) => b.target.capacity - a.target.capacity);
+        if (fastest !== undefined && fastest.target.capacity > target.capacity * MUCH_FASTER) {
+            return [{ from: busiest, to: busiest, source: target.id, target: fastest.target.id }];
+        }
+    }
+    return [];
+};
+
+/** The key with the highest load in some ranges. */
+const busiestKey = (ranges: readonly KeyRange[], loads: KeyLoads): number => {
+    let busiest = ranges[0].from;
+    let highest = -1;
+    for (const { from, to } of ranges) {
+        for (let key = from; key <= to; key++) {
+            const load = loads.of(key, key);
+            if (load > highest) {
+                busiest = key;
+                highest = load;
+            }
+        }
+    }
+    return busiest;
+};
+
 /** Takes keys from targets at which requests wait and that have more than their share. */
 const relieve = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
     const moves: KeyMove[] = [];
@@ -273,5 +334,8 @@
     if (!balance || moves.length > 0) {
         return moves;
     }
-    return [...fillNew(ranges, holdings, loads), ...relieve(ranges, holdings, loads)].slice(0, MAX_BALANCE_MOVES);
+    const isolating = isolateBusyKey(ranges, holdings, loads);
+    return isolating.length > 0
+        ? isolating
+        : [...fillNew(ranges, holdings, loads), ...relieve(ranges, holdings, loads)].slice(0, MAX_BALANCE_MOVES);
 };
