--- a/src/process/gateway/configKeeper.ts
+++ b/src/process/gateway/configKeeper.ts
@@ -45,7 +45,7 @@
             }
             return;
         }
-        logger.info("A config is in force.", { version: config.version, routes: config.routes.length });
+        logger.info(`Config ${config.version} is in force.`, { routes: config.routes.length });
         this.lookup = new RouteLookup(config);
         onChange(this.lookup);
     }
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -138,7 +138,7 @@
         const known = this.known.get(this.identity(listed.entry.id, listed.entry.startedAtMs));
         if (known !== undefined && !known.ended) {
             known.ended = true;
-            this.options.logger.info("The owner of keys has ended.", { target: listed.entry.id });
+            this.options.logger.info(`Target ${listed.entry.id} has ended; its keys are free.`);
         }
     }
 
@@ -328,12 +328,8 @@
             if (fence === undefined) {
                 return;
             }
-            logger.info("Keys have a new owner.", {
-                service,
-                from,
-                to,
+            logger.info(`Keys ${from} to ${to} of service ${service} have the new owner ${id}.`, {
                 source: piece.target,
-                target: id,
                 fence,
                 handover: taken.handover !== undefined,
                 ms: Math.round(clock.monotonicMs() - began),
@@ -481,7 +477,7 @@
                 return false;
             case "outdated":
             case "invalid":
-                logger.error("A target refused a grant.", { target: id, from, to, fence, reply: reply.type });
+                logger.error(`Target ${id} refused a grant.`, { from, to, fence, reply: reply.type });
                 return false;
         }
     }
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -76,11 +76,12 @@
         target.usable = !entry.draining && !target.gone;
         this.endOthersAt(target);
         if (known === undefined || wasUsable !== target.usable) {
-            this.options.logger.info("Target has changed.", {
-                target: entry.id,
-                service: entry.service,
-                draining: entry.draining,
-                address: entry.address,
+            const { id, service, draining, address, domain } = entry;
+            this.options.logger.info(`Target ${id} is ${target.usable ? "usable" : "not usable"}.`, {
+                service,
+                draining,
+                address,
+                domain,
             });
             this.options.onChange(target);
         }
@@ -146,7 +147,7 @@
             this.targets.delete(id);
         }
         this.byService.get(service)?.delete(target);
-        this.options.logger.info("Target has left.", { target: id, service, address, cause });
+        this.options.logger.info(`Target ${id} has left.`, { service, address, cause });
         this.options.onChange(target);
     }
 }
