--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -121,6 +121,22 @@
         expect(lease.isHeld()).toBe(true);
     });
 
+    it("isn't used any more once it is given up, and passes on only when what was under way has ended", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const { lease } = createLease(store, clock, "a1");
+        lease.start();
+        await advanceInSteps(clock, 100);
+        let settle = () => undefined as void;
+        const released = lease.release(() => new Promise<void>(resolve => (settle = resolve)));
+        expect(lease.isHeld()).toBe(false);
+        await advanceInSteps(clock, 100);
+        expect(store.read(LEASE_TABLE, LEASE_KEY)).toBeDefined();
+        settle();
+        await released;
+        expect(store.read(LEASE_TABLE, LEASE_KEY)).toBeUndefined();
+    });
+
     it("is taken up at once by the same instance after a restart", async () => {
         const store = new MemoryRowStore();
         const clock = new ManualClock();
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -103,17 +103,28 @@
         void this.run();
     }
 
-    /** Gives the lease up, so that another instance need not wait for its end. */
-    async release(): Promise<void> {
-        this.disposed = true;
-        this.cancelTimer();
-        if (this.isHolder && this.isHeld()) {
-            this.loseIt();
-            const name = { table: LEASE_TABLE, key: LEASE_KEY };
-            await this.options.store.transact({
-                expected: [{ ...name, version: this.version }],
-                puts: [],
-                deletes: [name],
+    /**
+     * Gives the lease up, so that another instance need not wait for its end. It isn't held any more from this call on;
+     * the row goes when `settled` says that calls made under it have ended.
+     */
+    async release(settled: () => Promise<void>): Promise<void> {
+        this.dispose();
+        const wasHeld = this.isHolder && this.isHeld();
+        this.heldUntil = -Infinity;
+        this.checkLost();
+        if (!wasHeld) {
+            return;
+        }
+        await settled();
+        const name = { table: LEASE_TABLE, key: LEASE_KEY };
+        const deleted = await this.options.store.transact({
+            expected: [{ ...name, version: this.version }],
+            puts: [],
+            deletes: [name],
+        });
+        if (deleted.isErr()) {
+            this.options.logger.warn("The lease couldn't be given up; it ends by itself.", {
+                cause: deleted.error.type,
             });
         }
     }
@@ -236,6 +247,9 @@
         if (Math.abs(this.offsetMs() - offsetMs) > SUSPENSION_MS) {
             return;
         }
+        if (this.disposed) {
+            return;
+        }
         this.wallOffsetMs = offsetMs;
         this.heldUntil = sentAt + LEASE_MS;
         if (!this.isHolder) {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -255,7 +255,9 @@
         const began = clock.monotonicMs();
         this.isDraining = true;
         loggers("daemon").info("Stopping.", { unfinished: this.server.unfinished() });
-        void this.lease.release();
+        void this.lease.release(async () => {
+            await Promise.all([...this.assigners.values()].map(assigner => assigner.settled()));
+        });
         const elapsedMs = () => clock.monotonicMs() - began;
         while (elapsedMs() < BALANCER_NOTICE_MS || (this.server.unfinished() > 0 && elapsedMs() < graceMs)) {
             this.server.startDraining();
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -13,7 +13,7 @@
     type KeyAssignment,
     type KeyRange,
 } from "./keyMap.js";
-import type { OwnershipCalls } from "./ownershipCalls.js";
+import type { GrantReply, OwnershipCalls } from "./ownershipCalls.js";
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
@@ -81,6 +81,7 @@
     private readonly known = new Map<string, KnownTarget>();
     private readonly moving = new Set<KeyMove>();
     private readonly queue: QueuedChange[] = [];
+    private readonly grantsUnderWay = new Set<Promise<GrantReply>>();
     private isCommitting = false;
     private readonly disposables = new DisposableStore();
     private disposed = false;
@@ -133,6 +134,11 @@
         this.queue.splice(0).forEach(({ settle }) => settle(undefined));
     }
 
+    /** Resolves when the grants that are under way have been answered or given up. */
+    async settled(): Promise<void> {
+        await Promise.all(this.grantsUnderWay);
+    }
+
     /** Notes that another process listens at a target's address, or that the target has started anew. */
     targetEnded(listed: DirectoryTarget): void {
         const known = this.known.get(this.identity(listed.entry.id, listed.entry.startedAtMs));
@@ -461,7 +467,9 @@
         }
         const { from, to, fence, handover } = range;
         const { address, id } = target.listed.entry;
-        const reply = await calls.grant({ id, address }, { from, to, fence, holdMs, handover }, GRANT_TIMEOUT_MS);
+        const call = calls.grant({ id, address }, { from, to, fence, holdMs, handover }, GRANT_TIMEOUT_MS);
+        this.grantsUnderWay.add(call);
+        const reply = await call.finally(() => this.grantsUnderWay.delete(call));
         const now = clock.monotonicMs();
         switch (reply.type) {
             case "granted":
