Raise the fencing token before keys are taken from an owner with unanswered grants

The owner now gets the keys under a token above that of such a renewal first, so that it refuses it.

--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -26,6 +26,28 @@
         if (this.silent.has(address)) {
             return Promise.resolve({ type: "unanswered", detail: "silent" });
         }
+        if (this.postponesMs > 0) {
+            const arrivedAt = this.clock.monotonicMs();
+            this.clock.setTimer(this.postponesMs, () => this.apply(address, grant, arrivedAt));
+            return Promise.resolve({ type: "unanswered", detail: "postponed" });
+        }
+        return Promise.resolve(this.apply(address, grant, this.clock.monotonicMs()));
+    }
+
+    /** Grants get no answer while this is above 0, and take effect that much later. */
+    postponesMs = 0;
+    private readonly seenFences = new Map<string, { from: number; to: number; fence: number }[]>();
+
+    private apply(
+        address: string,
+        grant: { from: number; to: number; fence: number; holdMs: number },
+        arrivedAt: number,
+    ): GrantReply {
+        const seen = this.seenFences.get(address) ?? [];
+        if (seen.some(({ from, to, fence }) => from <= grant.to && grant.from <= to && fence > grant.fence)) {
+            return { type: "outdated" };
+        }
+        this.seenFences.set(address, [...seen, grant]);
         this.log.push(`grant ${address} ${grant.from} ${grant.to} ${grant.fence}`);
         const others = [...this.held].filter(([other]) => other !== address).flatMap(([, grants]) => grants);
         const now = this.clock.monotonicMs();
@@ -34,8 +56,8 @@
             throw new Error(`two owners of ${grant.from} to ${grant.to} at ${now}`);
         }
         const kept = this.without(address, grant);
-        this.held.set(address, [...kept, { ...grant, until: now + grant.holdMs }]);
-        return Promise.resolve({ type: "granted" });
+        this.held.set(address, [...kept, { ...grant, until: arrivedAt + grant.holdMs }]);
+        return { type: "granted" };
     }
 
     release({ address }: CalledTarget, keys: { from: number; to: number; fence: number }): Promise<ReleaseReply> {
@@ -145,6 +167,21 @@
         expect(world.owners()).toEqual(new Set(["t2"]));
     });
 
+    it("makes grants harmless that take effect after the keys were released", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        world.calls.postponesMs = 4_000;
+        await advanceInSteps(world.clock, 2_000);
+        world.calls.postponesMs = 0;
+        const [first, second] = world.targets();
+        first.entry = { ...first.entry, draining: true };
+        first.usable = false;
+        // GrantedTargets throws when a late renewal gives the first target keys that the second one has got.
+        await advanceInSteps(world.clock, 8_000);
+        expect(world.owners()).toEqual(new Set([second.entry.id]));
+    });
+
     it("gives the keys of a restarted target away at once, with a higher fencing token", async () => {
         const world = await createWorld(["t1", "t2"]);
         void world.create().start();
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -6,6 +6,7 @@
 import { DEFAULT_HOLD_MS, GrantRecord } from "./grantRecord.js";
 import {
     emptyAssignment,
+    KEY_COUNT,
     keyAssignmentSchema,
     overlaps,
     replaceRange,
@@ -13,6 +14,7 @@
     type KeyAssignment,
     type KeyRange,
 } from "./keyMap.js";
+import { LateGrants } from "./lateGrants.js";
 import type { GrantReply, OwnershipCalls } from "./ownershipCalls.js";
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import type { RowStore } from "./rowStore.js";
@@ -49,6 +51,7 @@
 interface KnownTarget {
     listed: DirectoryTarget;
     grants: GrantRecord;
+    late: LateGrants;
     /** Monotonic time in milliseconds at which its entry went. */
     goneAt: number | undefined;
     /** Whether it is proven that its process has ended. */
@@ -205,19 +208,19 @@
             listed.add(identity);
             const known = this.known.get(identity);
             if (known === undefined) {
-                const grants = new GrantRecord(now, this.options.holdMs ?? DEFAULT_HOLD_MS);
-                this.known.set(identity, {
-                    listed: target,
-                    grants,
-                    goneAt: undefined,
-                    ended: false,
-                    renewing: Promise.resolve(),
-                    isRenewing: false,
-                });
+                this.know(identity, target, now);
             } else {
                 known.listed = target;
                 known.goneAt = undefined;
             }
+        }
+        if (now - this.startedAt > ENTRY_RETURN_MS) {
+            this.knowOwnersWithoutEntry(now);
+        }
+        for (const {
+            entry: { id, startedAtMs, address },
+        } of this.options.targets()) {
+            const identity = this.identity(id, startedAtMs);
             for (const [otherIdentity, other] of this.known) {
                 const { entry } = other.listed;
                 const isEarlierLife = entry.id === id || entry.address === address;
@@ -236,6 +239,38 @@
         }
     }
 
+    private know(identity: string, listed: DirectoryTarget, now: number): KnownTarget {
+        const { holdMs = DEFAULT_HOLD_MS } = this.options;
+        const grants = new GrantRecord(now, holdMs);
+        const late = new LateGrants(grants.endsAt() - now);
+        // An earlier assigner may have grants under way that nobody has heard of.
+        late.add({ from: 0, to: KEY_COUNT - 1, fence: this.assignment.fence }, now);
+        const known: KnownTarget = {
+            listed,
+            grants,
+            late,
+            goneAt: undefined,
+            ended: false,
+            renewing: Promise.resolve(),
+            isRenewing: false,
+        };
+        this.known.set(identity, known);
+        return known;
+    }
+
+    /** Owners that an earlier assigner left and that have no entry; they may still answer where they were. */
+    private knowOwnersWithoutEntry(now: number): void {
+        for (const { target: id, startedAtMs, address } of this.assignment.ranges) {
+            const identity = this.identity(id, startedAtMs);
+            if (id === "" || address === "" || this.known.has(identity)) {
+                continue;
+            }
+            const { service } = this.options;
+            const entry = { id, service, address, domain: "", slots: 1, draining: true, warmupLeftMs: 0, startedAtMs };
+            this.know(identity, { entry, usable: false, gone: true, seenAt: now }, now).goneAt = now;
+        }
+    }
+
     private plan(): void {
         if (this.disposed || !this.options.lease.isHeld()) {
             return;
@@ -300,8 +335,7 @@
             return true;
         }
         const owner = this.ownerOf(range);
-        // An owner from before this assigner, without an entry: it may answer at the address that it had.
-        return owner === undefined ? now - this.startedAt > ENTRY_RETURN_MS : this.mayRelease(owner, now);
+        return owner !== undefined && this.mayRelease(owner, now);
     }
 
     /** Whether the owner of a range has started anew since it got the keys. */
@@ -352,6 +386,7 @@
     ): Promise<{ handover: string | undefined } | undefined> {
         const { calls, clock, lease } = this.options;
         const owner = this.ownerOf(range);
+        let { fence } = range;
         await owner?.renewing;
         for (;;) {
             if (this.disposed || !lease.isHeld()) {
@@ -360,8 +395,22 @@
             if (this.isFree(range, clock.monotonicMs())) {
                 return { handover: undefined };
             }
-            const target = { id: range.target, address: owner?.listed.entry.address ?? range.address };
-            const reply = await calls.release(target, { from, to, fence: range.fence }, RELEASE_TIMEOUT_MS);
+            if (owner === undefined) {
+                return undefined;
+            }
+            if (owner.late.mayTakeEffect({ from, to, fence }, clock.monotonicMs())) {
+                const raised = await this.raiseFence(owner, { ...range, from, to, handover: undefined });
+                if (raised === undefined) {
+                    return undefined;
+                }
+                fence = raised.fence;
+                if (!raised.isAnswered) {
+                    await this.pause(REPEAT_PAUSE_MS);
+                }
+                continue;
+            }
+            const { id, address } = owner.listed.entry;
+            const reply = await calls.release({ id, address }, { from, to, fence }, RELEASE_TIMEOUT_MS);
             if (reply.type === "released") {
                 return { handover: reply.handover };
             }
@@ -372,6 +421,21 @@
         }
     }
 
+    /**
+     * Grants an owner keys that it has, under a higher fencing token, so that grants that are still on their way can't
+     * take effect after the release.
+     */
+    private async raiseFence(
+        owner: KnownTarget,
+        range: KeyRange,
+    ): Promise<{ fence: number; isAnswered: boolean } | undefined> {
+        const fence = await this.commit(range);
+        if (fence === undefined) {
+            return undefined;
+        }
+        return { fence, isAnswered: await this.grant(owner, { ...range, fence }) };
+    }
+
     /** Whether nobody can hold the keys of a range any more. */
     private isFree(range: KeyRange, now: number): boolean {
         const owner = this.ownerOf(range);
@@ -477,6 +541,7 @@
                 return true;
             case "unanswered":
                 target.grants.unanswered(now);
+                target.late.add(range, now);
                 return false;
             case "other-target":
                 this.targetEnded(target.listed);
