--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -203,7 +203,7 @@
         const now = this.options.clock.monotonicMs();
         const listed = new Set<string>();
         for (const target of this.options.targets()) {
-            const { id, startedAtMs, address } = target.entry;
+            const { id, startedAtMs } = target.entry;
             const identity = this.identity(id, startedAtMs);
             listed.add(identity);
             const known = this.known.get(identity);
@@ -217,18 +217,7 @@
         if (now - this.startedAt > ENTRY_RETURN_MS) {
             this.knowOwnersWithoutEntry(now);
         }
-        for (const {
-            entry: { id, startedAtMs, address },
-        } of this.options.targets()) {
-            const identity = this.identity(id, startedAtMs);
-            for (const [otherIdentity, other] of this.known) {
-                const { entry } = other.listed;
-                const isEarlierLife = entry.id === id || entry.address === address;
-                if (otherIdentity !== identity && isEarlierLife && entry.startedAtMs < startedAtMs) {
-                    this.targetEnded(other.listed);
-                }
-            }
-        }
+        this.endEarlierLives();
         for (const [identity, known] of this.known) {
             if (!listed.has(identity)) {
                 known.goneAt ??= now;
@@ -239,6 +228,18 @@
         }
     }
 
+    /** A target that has started anew, or that has the address of another one, proves that the earlier process has ended. */
+    private endEarlierLives(): void {
+        for (const { entry } of this.options.targets()) {
+            for (const { listed } of this.known.values()) {
+                const isSamePlace = listed.entry.id === entry.id || listed.entry.address === entry.address;
+                if (isSamePlace && listed.entry.startedAtMs < entry.startedAtMs) {
+                    this.targetEnded(listed);
+                }
+            }
+        }
+    }
+
     private know(identity: string, listed: DirectoryTarget, now: number): KnownTarget {
         const { holdMs = DEFAULT_HOLD_MS } = this.options;
         const grants = new GrantRecord(now, holdMs);
