--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -105,6 +105,7 @@
     const lease = { held: true, isHeld: () => lease.held, version: leaseRow.row?.version ?? 0 };
     const calls = new GrantedTargets(clock);
     let targets = ids.map(id => listed(id));
+    const others: DirectoryTarget[] = [];
     const create = () =>
         new KeyAssigner({
             service: "stock",
@@ -114,6 +115,7 @@
             logger: SILENT_LOGGER,
             lease,
             targets: () => targets,
+            allTargets: () => [...targets, ...others],
             measure: () => ({ capacity: 1, pressure: 0 }),
             weights: () => new Float64Array(KEY_COUNT).fill(1),
             holdMs: HOLD_MS,
@@ -128,6 +130,7 @@
         assignment,
         owners: () => new Set(assignment().ranges.map(({ target }) => target)),
         targets: () => targets,
+        others,
         setTargets: (next: DirectoryTarget[]) => {
             targets = next;
         },
@@ -195,6 +198,20 @@
         expect(ranges.some(({ target, startedAtMs }) => target === "t1" && startedAtMs === 1)).toBe(false);
     });
 
+    it("gives keys away at once whose owner's address belongs to a target of another service", async () => {
+        const world = await createWorld(["t1", "t2"]);
+        void world.create().start();
+        await advanceInSteps(world.clock, 5_000);
+        world.calls.silent.add("t1:80");
+        world.calls.held.set("t1:80", []);
+        const successor = listed("other", 2);
+        successor.entry = { ...successor.entry, service: "orders", address: "t1:80" };
+        world.others.push(successor);
+        world.setTargets(world.targets().slice(1));
+        await advanceInSteps(world.clock, 1_500);
+        expect(world.owners()).toEqual(new Set(["t2"]));
+    });
+
     it("renews the grants of a former assigner under the same fencing token", async () => {
         const world = await createWorld(["t1", "t2"]);
         const first = world.create();
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -477,6 +477,7 @@
                 logger: loggers("ownership"),
                 lease: this.lease,
                 targets: () => [...this.directory.all()].filter(({ entry }) => entry.service === name),
+                allTargets: () => this.directory.all(),
                 measure: listed => this.targetOf(listed).measure(),
                 weights: () => this.trafficOf(name).weights(),
                 holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -19,6 +19,7 @@
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
+import type { TargetEntry } from "./targetEntry.js";
 
 /** Table of the assignments; the instances follow it. */
 export const ASSIGNMENT_TABLE = "sassafrasloom";
@@ -102,6 +103,8 @@
             lease: { isHeld(): boolean; version: number };
             /** Targets that are listed for the service. */
             targets: () => DirectoryTarget[];
+            /** Targets of all services; one of another service may have got the address of an owner. */
+            allTargets: () => Iterable<DirectoryTarget>;
             /** Relative capacity of a target by its slots and speed, and its requests running or waiting over its slots. */
             measure: (target: DirectoryTarget) => { capacity: number; pressure: number };
             /** Load of each key. */
@@ -230,12 +233,17 @@
 
     /** A target that has started anew, or that has the address of another one, proves that the earlier process has ended. */
     private endEarlierLives(): void {
-        for (const { entry } of this.options.targets()) {
-            for (const { listed } of this.known.values()) {
-                const isSamePlace = listed.entry.id === entry.id || listed.entry.address === entry.address;
-                if (isSamePlace && listed.entry.startedAtMs < entry.startedAtMs) {
-                    this.targetEnded(listed);
-                }
+        const byId = new Map<string, TargetEntry>();
+        const byAddress = new Map<string, TargetEntry>();
+        for (const { entry } of this.options.allTargets()) {
+            byId.set(entry.id, entry);
+            byAddress.set(entry.address, entry);
+        }
+        for (const { listed } of this.known.values()) {
+            const { id, address, startedAtMs } = listed.entry;
+            const later = [byId.get(id), byAddress.get(address)];
+            if (later.some(entry => entry !== undefined && entry.startedAtMs > startedAtMs)) {
+                this.targetEnded(listed);
             }
         }
     }
