--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -25,7 +25,7 @@
 const STALL_CHECK_MS = 500;
 /** Most open connections of callers; the rest of the descriptors is for targets. */
 export const DEFAULT_CALLER_CONNECTIONS = 3_000;
-/** Unsent requests that may wait on a listening socket. */
+/** Connections that may wait to be accepted, for the moment at which all callers connect again. */
 const BACKLOG = 1_024;
 
 /** Headers of an answer that concern the target's connection only. */
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -42,6 +42,7 @@
 const SHARED_CHANGES_PAUSE_MS = 40;
 /** Time without an answer of the store after which it counts as out of reach, in milliseconds. */
 const OUTAGE_MS = 1_000;
+/** Time between two looks for an outage, in milliseconds; a fraction of the time that makes one. */
 const OUTAGE_CHECK_MS = 250;
 /**
  * Retries as a share of requests. Half of what is allowed, since a burst may use what the quiet time before it has saved.
@@ -55,6 +56,7 @@
 const ASSUMED_INSTANCES = 12;
 /** Time that a stopping instance goes on taking connections: the balancer needs it to notice. In milliseconds. */
 const BALANCER_NOTICE_MS = 3_000;
+/** Time between two looks for connections to close while stopping, in milliseconds. */
 const DRAIN_STEP_MS = 100;
 
 /** The platform as the gateway uses it; implemented outside the product. */
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -5,6 +5,7 @@
 
 /** First pause after a failed call, in milliseconds; it doubles up to the longest, so that an outage isn't met with a flood. */
 const FIRST_PAUSE_MS = 60;
+/** Longest pause after a failed call, in milliseconds; bounds how late the store's return is noticed. */
 const LONGEST_PAUSE_MS = 500;
 
 /** How a call ended. */
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -13,6 +13,7 @@
 const SAME_DEADLINE_SHARE = 0.02;
 /** Size of an answer assumed before one was seen, in kilobytes. */
 const INITIAL_ANSWER_KB = 2;
+/** The same for routes with large answers. */
 const INITIAL_BULK_ANSWER_KB = 64;
 /** Weight of the newest answer in the mean size. */
 const SIZE_WEIGHT = 0.05;
