--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -18,10 +18,9 @@
 import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { GatewayTarget } from "./gatewayTarget.js";
 import { ASSIGNMENT_TABLE, KeyAssigner } from "./keyAssigner.js";
-import { keyAssignmentSchema, KeyMap } from "./keyMap.js";
+import { decodeAssignment, KeyMap } from "./keyMap.js";
 import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
 import type { OwnershipCalls } from "./ownershipCalls.js";
-import { parseJson } from "../parseJson.js";
 import { startReadinessServer, type ReadinessServer } from "./readinessServer.js";
 import { RequestLog } from "./requestLog.js";
 import type { RowStore, StoredRow } from "./rowStore.js";
@@ -391,16 +390,16 @@
         if (row.value === undefined) {
             return;
         }
-        const parsed = keyAssignmentSchema.safeParse(parseJson(row.value.toString()));
-        if (!parsed.success) {
+        const assignment = decodeAssignment(row.value);
+        if (assignment === undefined) {
             this.options.loggers("ownership").error("An assignment can't be read.", { row: row.key });
             return;
         }
-        const { service, fence } = parsed.data;
+        const { service, fence } = assignment;
         if (fence < (this.keyMaps.get(service)?.assignment.fence ?? 0)) {
             return;
         }
-        this.keyMaps.set(service, new KeyMap(parsed.data));
+        this.keyMaps.set(service, new KeyMap(assignment));
         const waits = this.ownerWaits.get(service);
         this.ownerWaits.delete(service);
         waits?.forEach(callback => callback());
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -1,13 +1,12 @@
 import { repeat, type Clock } from "../clock.js";
 import { DisposableStore } from "../disposableStore.js";
 import type { Logger } from "../logger.js";
-import { parseJson } from "../parseJson.js";
 import { LEASE_KEY, LEASE_TABLE } from "./assignerLease.js";
 import { DEFAULT_HOLD_MS, GrantRecord } from "./grantRecord.js";
 import {
+    decodeAssignment,
     emptyAssignment,
     KEY_COUNT,
-    keyAssignmentSchema,
     overlaps,
     replaceRange,
     withoutRanges,
@@ -174,12 +173,12 @@
         }
         const { row } = reading.value;
         if (row?.value !== undefined) {
-            const parsed = keyAssignmentSchema.safeParse(parseJson(row.value.toString()));
-            if (!parsed.success) {
+            const assignment = decodeAssignment(row.value);
+            if (assignment === undefined) {
                 logger.error("The assignment in the store can't be read; keys aren't assigned.", { service });
                 return false;
             }
-            this.assignment = parsed.data;
+            this.assignment = assignment;
         }
         this.rowVersion = row?.version ?? 0;
         logger.info("Assigning keys.", {
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { parseJson } from "../parseJson.js";
 
 /** Number of keys; a key is a whole number below it. */
 export const KEY_COUNT = 65_536;
@@ -29,7 +30,7 @@
 export type KeyRange = z.infer<typeof keyRangeSchema>;
 
 /** Owners of all keys of a service, as kept in the store. */
-export const keyAssignmentSchema = z.object({
+const keyAssignmentSchema = z.object({
     service: z.string(),
     /** Highest fencing token that was ever assigned; the next one is above it. */
     fence: z.number().int().min(0),
@@ -38,6 +39,15 @@
 });
 export type KeyAssignment = z.infer<typeof keyAssignmentSchema>;
 
+/**
+ * Reads an assignment from its row; `undefined` when it can't be read.
+ *
+ * @example
+ * const assignment = decodeAssignment(row.value);
+ */
+export const decodeAssignment = (value: Buffer): KeyAssignment | undefined =>
+    keyAssignmentSchema.safeParse(parseJson(value.toString())).data;
+
 /**
  * Looks up owners of keys.
  *
