--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -181,6 +181,10 @@
     return moves;
 };
 
+/** Whether requests wait for a target that can give keys away and has more than its share of the load. */
+const isOverloaded = ({ target, load, fairLoad }: Holding): boolean =>
+    target.receives && target.releases && target.pressure >= HIGH_PRESSURE && load > fairLoad * OVERLOAD_RATIO;
+
 /**
  * Makes room for one key that overloads its owner: the owner's other keys go to the targets with the least load, and then
  * the key itself to a target that is much faster. One key can't be divided, so the whole of a fast target is the most that
@@ -189,12 +193,7 @@
 const isolateBusyKey = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
     for (const holding of holdings) {
         const { target, load, fairLoad } = holding;
-        if (
-            !target.receives ||
-            !target.releases ||
-            target.pressure < HIGH_PRESSURE ||
-            load < fairLoad * OVERLOAD_RATIO
-        ) {
+        if (!isOverloaded(holding)) {
             continue;
         }
         const own = ranges.filter(range => range.target === target.id);
@@ -240,15 +239,7 @@
 const relieve = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
     const moves: KeyMove[] = [];
     const receivers = new Set(holdings.filter(({ target }) => target.receives && target.pressure < HIGH_PRESSURE));
-    const overloaded = holdings
-        .filter(
-            ({ target, load, fairLoad }) =>
-                target.receives &&
-                target.releases &&
-                target.pressure >= HIGH_PRESSURE &&
-                load > fairLoad * OVERLOAD_RATIO,
-        )
-        .sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
+    const overloaded = holdings.filter(isOverloaded).sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
     for (const holding of overloaded) {
         const receiver = leastLoaded([...receivers]);
         if (receiver === undefined || receiver.load > receiver.fairLoad * FULL_RATIO) {
