Read owners of keys at most once a second unless a request needs them

Change: after a change an instance waits 1 s before it reads on, but only 40 ms when a request meets an owner that refuses it, doesn't answer or isn't listed; such a request waits for the read instead of being refused. Reports of crashes have a table of their own, which stays fast.

--- a/src/process/gateway/__tests__/crashSuspects.test.ts
+++ b/src/process/gateway/__tests__/crashSuspects.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import type { GatewayCall } from "../../../request/gatewayCall.js";
-import { CRASH_ROW_PREFIX, CrashSuspects } from "../crashSuspects.js";
+import { CrashSuspects } from "../crashSuspects.js";
 
 const call = (url: string): GatewayCall => ({
     method: "GET",
@@ -16,7 +16,7 @@
 });
 
 const createSuspects = (clock: ManualClock, instance: string, peers: CrashSuspects[] = []) => {
-    const ownRow = `${CRASH_ROW_PREFIX}${instance}`;
+    const ownRow = instance;
     const suspects: CrashSuspects = new CrashSuspects({
         clock,
         logger: SILENT_LOGGER,
--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -5,7 +5,11 @@
 import { waitFor } from "../../../../test/support/waitFor.js";
 import { TableFollower } from "../tableFollower.js";
 
-const createFollower = (store: MemoryRowStore, clock: ManualClock) => {
+const createFollower = (
+    store: MemoryRowStore,
+    clock: ManualClock,
+    pauses: { pauseMs: number; leastPauseMs?: number } = { pauseMs: 0 },
+) => {
     const rows = new Map<string, unknown>();
     const regained: number[] = [];
     const follower = new TableFollower({
@@ -14,7 +18,8 @@
         clock,
         logger: SILENT_LOGGER,
         waitMs: 1,
-        pauseMs: () => 0,
+        pauseMs: () => pauses.pauseMs,
+        leastPauseMs: pauses.leastPauseMs,
         followed: {
             replaced: all => {
                 rows.clear();
@@ -79,4 +84,26 @@
         follower.dispose();
         expect(regained).toHaveLength(1);
     });
+
+    it("reads a burst of changes with few calls, and at once when somebody needs the newest", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", 0);
+        const { follower, rows } = createFollower(store, clock, { pauseMs: 1_000, leastPauseMs: 40 });
+        await advanceInSteps(clock, 10);
+        const callsBefore = store.calls.changes;
+        for (let change = 1; change <= 40; change++) {
+            store.put("t", "a", change);
+            await advanceInSteps(clock, 50);
+        }
+        expect(store.calls.changes - callsBefore).toBeLessThanOrEqual(4);
+
+        store.put("t", "a", "new");
+        await advanceInSteps(clock, 100);
+        expect(follower.isFresh).toBe(false);
+        follower.hurry();
+        await advanceInSteps(clock, 60);
+        expect(rows.get("a")).toBe("new");
+        follower.dispose();
+    });
 });
--- /dev/null
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -0,0 +1,62 @@
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import type { Placement } from "../../../request/gatewayRequest.js";
+import type { Route } from "../../../version/routeConfig.js";
+import type { RouteLookup } from "../../../version/routeLookup.js";
+import { GatewayTarget } from "../gatewayTarget.js";
+import { KEY_COUNT, KeyMap } from "../keyMap.js";
+import type { DirectoryTarget } from "../targetDirectory.js";
+import { TargetPlacement } from "../targetPlacement.js";
+
+const START_MS = 1_000;
+
+const createPlacement = (view: { isListed: boolean; isFresh: boolean }) => {
+    const clock = new ManualClock();
+    const listed = {
+        entry: { id: "t1", service: "stock", address: "127.0.0.1:1", slots: 4, warmupLeftMs: 0, startedAtMs: START_MS },
+    } as unknown as DirectoryTarget;
+    const owner = new GatewayTarget(listed, clock, true, 4);
+    const range = { from: 0, to: KEY_COUNT - 1, target: "t1", startedAtMs: START_MS, address: "", fence: 1 };
+    const placement = new TargetPlacement({
+        lookup: () => ({ service: () => ({ keyed: true }) }) as unknown as RouteLookup,
+        keyMap: () => new KeyMap({ service: "stock", fence: 1, ranges: [range] }),
+        targets: () => [owner],
+        owner: () => (view.isListed ? owner : undefined),
+        ownersAreFresh: () => view.isFresh,
+        random: () => 0.5,
+    });
+    const place = (): Placement =>
+        placement.place({
+            call: { key: 7, deadlineMs: 3_000 } as never,
+            route: { name: "read", targetLatencyMs: 400 } as Route,
+            service: "stock",
+            tried: new Set(),
+            disowned: new Set(),
+            leftMs: 3_000,
+        });
+    return { owner, place };
+};
+
+describe("TargetPlacement", () => {
+    it("doesn't refuse a key for an owner that may have been replaced since the last read", () => {
+        const { place } = createPlacement({ isListed: false, isFresh: false });
+        expect(place().type).toBe("wait");
+        const unreachable = createPlacement({ isListed: true, isFresh: false });
+        unreachable.owner.unansweredCall(0);
+        expect(unreachable.place().type).toBe("wait");
+    });
+
+    it("refuses a key at once when its present owner is gone or doesn't answer", () => {
+        expect(createPlacement({ isListed: false, isFresh: true }).place()).toMatchObject({
+            type: "refuse",
+            refusal: { type: "no-owner" },
+        });
+        const unreachable = createPlacement({ isListed: true, isFresh: true });
+        unreachable.owner.unansweredCall(0);
+        expect(unreachable.place()).toMatchObject({ type: "refuse", refusal: { type: "owner-unreachable" } });
+    });
+
+    it("sends to a stale owner that answers: it refuses keys that it has given up", () => {
+        const { owner, place } = createPlacement({ isListed: true, isFresh: false });
+        expect(place()).toEqual({ type: "target", target: owner });
+    });
+});
--- a/src/process/gateway/crashSuspects.ts
+++ b/src/process/gateway/crashSuspects.ts
@@ -6,8 +6,8 @@
 import { parseJson } from "../parseJson.js";
 import type { StoredRow } from "./rowStore.js";
 
-/** Beginning of the keys of the rows in which instances state what they saw. */
-export const CRASH_ROW_PREFIX = "crashes/";
+/** Table of the store in which each instance states in a row what it saw. */
+export const CRASH_TABLE = "sassafrasloom-crashes";
 /** Time after a broken answer in which a sign of the target's end makes it a crash, in milliseconds. */
 const EVIDENCE_MS = 2_500;
 /** Targets that crashed with a request, as seen by all instances, from which it is refused. */
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -16,7 +16,7 @@
 import { RetryBudget } from "../retryBudget.js";
 import { AssignerLease } from "./assignerLease.js";
 import { ConfigKeeper, type ConfigProblem } from "./configKeeper.js";
-import { CRASH_ROW_PREFIX, CrashSuspects } from "./crashSuspects.js";
+import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import { GatewayTarget } from "./gatewayTarget.js";
@@ -40,8 +40,10 @@
 const TARGET_CHANGES_PAUSE_MS = 1_100;
 /** The same for the instance that assigns keys. */
 const ASSIGNER_CHANGES_PAUSE_MS = 150;
-/** The same for the rows that instances share; short, as requests for moved keys fail meanwhile. */
+/** The same for the rows that instances share, and for owners when a request needs the present one; in milliseconds. */
 const SHARED_CHANGES_PAUSE_MS = 40;
+/** The same for owners of keys otherwise. A target refuses keys that it has given up, so a stale owner does no harm. */
+const OWNERS_CHANGES_PAUSE_MS = 1_000;
 /** Time without an answer of the store after which it counts as out of reach, in milliseconds. */
 const OUTAGE_MS = 1_000;
 /** Time between two looks for an outage, in milliseconds; a fraction of the time that makes one. */
@@ -113,6 +115,7 @@
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
+    private readonly ownersFollower: TableFollower;
     private readonly followers: TableFollower[];
     private readonly lease: AssignerLease;
     private readonly assigners = new Map<string, KeyAssigner>();
@@ -151,10 +154,20 @@
                     ? this.targetOf(listed)
                     : undefined;
             },
+            ownersAreFresh: () => this.ownersFollower.isFresh,
             random: Math.random,
         });
         const { tables } = platform;
+        this.ownersFollower = this.follow({
+            table: ASSIGNMENT_TABLE,
+            waitMs: SHARED_WAIT_MS,
+            pauseMs: () => OWNERS_CHANGES_PAUSE_MS,
+            leastPauseMs: SHARED_CHANGES_PAUSE_MS,
+            replaced: rows => rows.forEach(row => this.assignmentChanged(row)),
+            changed: row => this.assignmentChanged(row),
+        });
         this.followers = [
+            this.ownersFollower,
             this.follow({
                 table: tables.config,
                 waitMs: RULES_WAIT_MS,
@@ -171,11 +184,11 @@
                 changed: row => this.entryChanged(row),
             }),
             this.follow({
-                table: ASSIGNMENT_TABLE,
+                table: CRASH_TABLE,
                 waitMs: SHARED_WAIT_MS,
                 pauseMs: () => SHARED_CHANGES_PAUSE_MS,
-                replaced: rows => rows.forEach(row => this.sharedRowChanged(row)),
-                changed: row => this.sharedRowChanged(row),
+                replaced: rows => rows.forEach(row => this.suspects.rowChanged(row)),
+                changed: row => this.suspects.rowChanged(row),
             }),
         ];
         this.lease = new AssignerLease({
@@ -205,12 +218,11 @@
             domain: options.domain,
             state: () => this.state(),
         });
-        const crashRow = `${CRASH_ROW_PREFIX}${instance}`;
         this.suspects = new CrashSuspects({
             clock,
             logger: loggers("dispatch"),
-            ownRow: crashRow,
-            publish: value => void this.publishCrashes(crashRow, value),
+            ownRow: instance,
+            publish: value => void this.publishCrashes(value),
         });
         this.services = {
             clock,
@@ -390,10 +402,11 @@
         table: string;
         waitMs: number;
         pauseMs: () => number;
+        leastPauseMs?: number;
         replaced: (rows: StoredRow[]) => void;
         changed: (row: StoredRow) => void;
     }): TableFollower {
-        const { table, waitMs, pauseMs, replaced, changed } = options;
+        const { table, waitMs, pauseMs, leastPauseMs, replaced, changed } = options;
         const { clock, loggers, platform } = this.options;
         return new TableFollower({
             store: platform.store,
@@ -402,6 +415,7 @@
             logger: loggers("platform"),
             waitMs,
             pauseMs,
+            leastPauseMs,
             followed: { replaced, changed, regained: () => this.checkOutage() },
         });
     }
@@ -435,28 +449,21 @@
     }
 
     /** Writes what this instance saw of crashes. A lost report costs a crash more, so it isn't repeated. */
-    private async publishCrashes(key: string, value: Buffer): Promise<void> {
-        const { store } = this.options.platform;
-        const row = await store.row(ASSIGNMENT_TABLE, key);
+    private async publishCrashes(value: Buffer): Promise<void> {
+        const { platform, instance: key } = this.options;
+        const { store } = platform;
+        const row = await store.row(CRASH_TABLE, key);
         if (row.isErr()) {
             this.options.loggers("dispatch").warn("Crashes couldn't be reported.", { cause: row.error.type });
             return;
         }
-        const expected = [{ table: ASSIGNMENT_TABLE, key, version: row.value.row?.version ?? 0 }];
-        const written = await store.transact({ expected, puts: [{ table: ASSIGNMENT_TABLE, key, value }] });
+        const expected = [{ table: CRASH_TABLE, key, version: row.value.row?.version ?? 0 }];
+        const written = await store.transact({ expected, puts: [{ table: CRASH_TABLE, key, value }] });
         if (written.isErr() || written.value.type !== "committed") {
             this.options.loggers("dispatch").warn("Crashes may not have been reported.", { row: key });
         }
     }
 
-    private sharedRowChanged(row: StoredRow): void {
-        if (row.key.startsWith(CRASH_ROW_PREFIX)) {
-            this.suspects.rowChanged(row);
-        } else {
-            this.assignmentChanged(row);
-        }
-    }
-
     private assignmentChanged(row: StoredRow): void {
         if (row.value === undefined) {
             return;
@@ -479,6 +486,7 @@
     private onOwnerChange(service: string, callback: () => void): () => void {
         const waits = this.ownerWaits.get(service) ?? new Set();
         this.ownerWaits.set(service, waits.add(callback));
+        this.ownersFollower.hurry();
         return () => waits.delete(callback);
     }
 
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -8,6 +8,9 @@
 /** Longest pause after a failed call, in milliseconds; bounds how late the store's return is noticed. */
 const LONGEST_PAUSE_MS = 500;
 
+/** Time in which the store answers a call when there are changes, in milliseconds; a longer call found none. */
+const READ_MS = 30;
+
 /** How a call ended. */
 type FollowerStep = "changed" | "quiet" | "failed" | "history-lost";
 
@@ -35,6 +38,10 @@
     private failures = 0;
     private lastAnswerAt: number;
     private wake: () => void = () => undefined;
+    private isPausing = false;
+    private pauseEndedAt = -Infinity;
+    private isHurried = false;
+    private endPause: () => void = () => undefined;
 
     constructor(
         private readonly options: {
@@ -49,6 +56,8 @@
             waitMs: number;
             /** Pause after changes, in milliseconds: changes that come together then cost one call. */
             pauseMs: () => number;
+            /** The part of that pause that `hurry` doesn't end, in milliseconds; all of it by default. */
+            leastPauseMs?: number;
             followed: FollowedTable;
         },
     ) {
@@ -70,6 +79,17 @@
         return this.options.clock.monotonicMs() - this.lastAnswerAt;
     }
 
+    /** Whether changes are known as soon as the store has them; `false` during the pause after changes. */
+    get isFresh(): boolean {
+        return !this.isPausing && this.options.clock.monotonicMs() - this.pauseEndedAt >= READ_MS;
+    }
+
+    /** Reads changes soon, because what is known has proved to be out of date. */
+    hurry(): void {
+        this.isHurried = true;
+        this.endPause();
+    }
+
     start(): void {
         void this.run();
     }
@@ -85,13 +105,30 @@
             const isListing: boolean = listing || this.position === undefined;
             const step: FollowerStep = isListing ? await this.list() : await this.follow();
             listing = step === "history-lost" || (isListing && step === "failed");
-            const pauseMs = step === "failed" ? this.failurePauseMs() : step === "changed" ? this.options.pauseMs() : 0;
-            if (pauseMs > 0) {
-                await this.pause(pauseMs);
+            if (step === "failed") {
+                await this.pause(this.failurePauseMs());
+            } else if (step === "changed") {
+                await this.pauseAfterChanges();
             }
         }
     }
 
+    private async pauseAfterChanges(): Promise<void> {
+        const pauseMs = this.options.pauseMs();
+        const leastMs = Math.min(pauseMs, this.options.leastPauseMs ?? pauseMs);
+        this.isHurried = false;
+        this.isPausing = true;
+        await this.pause(leastMs);
+        if (!this.isHurried && !this.disposed) {
+            const rest = this.pause(pauseMs - leastMs);
+            this.endPause = this.wake;
+            await rest;
+            this.endPause = () => undefined;
+        }
+        this.isPausing = false;
+        this.pauseEndedAt = this.options.clock.monotonicMs();
+    }
+
     private async list(): Promise<"changed" | "failed"> {
         const { store, table, followed } = this.options;
         const snapshot = await store.snapshot(table);
@@ -162,8 +199,11 @@
         return Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.failures - 1, 10));
     }
 
-    private pause(durationMs: number): Promise<void> {
-        return new Promise(resolve => {
+    private async pause(durationMs: number): Promise<void> {
+        if (durationMs <= 0) {
+            return;
+        }
+        await new Promise<void>(resolve => {
             const cancel = this.options.clock.setTimer(durationMs, resolve);
             this.wake = () => {
                 cancel();
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -9,6 +9,10 @@
 
 /** Pause for callers whose key has no owner, in seconds; owners are found within a few tenths of a second. */
 const NO_OWNER_PAUSE_S = 0.35;
+/** Longest wait for the new owner of a key that its owner has given up, in milliseconds. */
+const MOVE_WAIT_MS = 250;
+/** Longest wait until changes of owners are read, in milliseconds: a short pause and a call to the store. */
+const STALE_WAIT_MS = 80;
 /** Differences of deadlines up to this share of the longest one don't show a second attempt. */
 const SAME_DEADLINE_SHARE = 0.02;
 /** Size of an answer assumed before one was seen, in kilobytes. */
@@ -35,6 +39,8 @@
             targets: (service: string) => GatewayTarget[];
             /** The usable target with this identifier and start, if there is one. */
             owner: (id: string, startedAtMs: number) => GatewayTarget | undefined;
+            /** Whether changes of owners are known as soon as the store has them. */
+            ownersAreFresh: () => boolean;
             random: () => number;
         },
     ) {}
@@ -60,7 +66,7 @@
             case "not-run":
                 return owner === undefined || query.disowned.has(owner) || !query.tried.has(owner);
             case "not-sent":
-                return owner !== undefined && !query.tried.has(owner);
+                return (owner !== undefined && !query.tried.has(owner)) || !this.view.ownersAreFresh();
             case "silent":
                 // Only the owner can run it, and it may be doing so.
                 return false;
@@ -83,18 +89,25 @@
         const owner = this.ownerOf(query);
         if (owner === undefined) {
             return query.disowned.size > 0
-                ? { type: "wait" }
-                : this.refusal("no-owner", "The key has no owner at present.", NO_OWNER_PAUSE_S);
+                ? { type: "wait", longestMs: MOVE_WAIT_MS }
+                : this.unlessStale(this.refusal("no-owner", "The key has no owner at present.", NO_OWNER_PAUSE_S));
         }
         if (query.disowned.has(owner)) {
-            return { type: "wait" };
+            return { type: "wait", longestMs: MOVE_WAIT_MS };
         }
         if (owner.isSuspect()) {
-            return this.refusal("owner-unreachable", `Owner ${owner.id} doesn't answer.`, NO_OWNER_PAUSE_S);
+            return this.unlessStale(
+                this.refusal("owner-unreachable", `Owner ${owner.id} doesn't answer.`, NO_OWNER_PAUSE_S),
+            );
         }
         return this.unlessFull(owner, query);
     }
 
+    /** A refusal for want of an owner holds only if the owners are known as they are now. */
+    private unlessStale(refusal: Placement): Placement {
+        return this.view.ownersAreFresh() ? refusal : { type: "wait", longestMs: STALE_WAIT_MS };
+    }
+
     private placeAnywhere(query: PlacementQuery): Placement {
         const { route, service, tried } = query;
         const candidates = this.view
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -23,7 +23,7 @@
 const UNREPEATABLE_IDLE_MS = 3_000;
 /** Idle time after which a connection isn't used for a request that can be repeated, in milliseconds. */
 const REPEATABLE_IDLE_MS = 8_000;
-/** Longest wait for a new owner of a key when the known one has given it up, in milliseconds. */
+/** Longest time for which a request waits for owners altogether, in milliseconds. */
 const OWNER_WAIT_MS = 250;
 /** Share of a route's aim that the work itself is assumed to take. */
 const EXPECTED_SERVICE_SHARE = 0.25;
@@ -33,8 +33,8 @@
 /** Where a request can go now. */
 export type Placement =
     | { type: "target"; target: GatewayTarget }
-    /** The owner of the key is about to change; ask again when `onOwnerChange` tells. */
-    | { type: "wait" }
+    /** The owner of the key may change; ask again when `onOwnerChange` tells, or after `longestMs` milliseconds. */
+    | { type: "wait"; longestMs: number }
     | { type: "refuse"; refusal: Refusal };
 
 /** What is known of a request when a target is chosen for it. */
@@ -182,7 +182,7 @@
                 this.send(placement.target);
                 return;
             case "wait":
-                this.waitForOwner();
+                this.waitForOwner(placement.longestMs);
                 return;
             case "refuse":
                 this.lastRefusal = placement.refusal;
@@ -196,7 +196,7 @@
         return { call, route, service, tried, disowned, leftMs: this.leftMs() };
     }
 
-    private waitForOwner(): void {
+    private waitForOwner(longestMs: number): void {
         const now = this.services.clock.monotonicMs();
         this.ownerWaitEndsAt ??= now + OWNER_WAIT_MS;
         if (now >= this.ownerWaitEndsAt) {
@@ -204,7 +204,8 @@
             this.finishUnanswered();
             return;
         }
-        const cancelTimer = this.services.clock.setTimer(this.ownerWaitEndsAt - now, () => this.endOwnerWait());
+        const waitMs = Math.min(longestMs, this.ownerWaitEndsAt - now);
+        const cancelTimer = this.services.clock.setTimer(waitMs, () => this.endOwnerWait());
         const cancelCallback = this.services.onOwnerChange(this.service, () => this.endOwnerWait());
         this.cancelOwnerWait = () => {
             cancelTimer();
