Don't try an unreachable owner again until the owners have been read

The log of edge-ooe-c-1 has nothing from 0.419 s to 1.651 s, then a row of requests without an answer within 1,200 ms; just before, `connection-limit` at an owner.

Change: owners that couldn't be reached are known to the placement, which waits for the read, then refuses. The test failed before.

--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -24,12 +24,13 @@
         ownersAreFresh: () => view.isFresh,
         random: () => 0.5,
     });
-    const place = (): Placement =>
+    const place = (unreached: GatewayTarget[] = []): Placement =>
         placement.place({
             call: { key: 7, deadlineMs: 3_000 } as never,
             route: { name: "read", targetLatencyMs: 400 } as Route,
             service: "stock",
-            tried: new Set(),
+            tried: new Set(unreached),
+            unreached: new Set(unreached),
             disowned: new Set(),
             leftMs: 3_000,
         });
@@ -55,6 +56,13 @@
         expect(unreachable.place()).toMatchObject({ type: "refuse", refusal: { type: "owner-unreachable" } });
     });
 
+    it("doesn't choose an owner again that couldn't be reached, which would go on for the request's whole time", () => {
+        const stale = createPlacement({ isListed: true, isFresh: false });
+        expect(stale.place([stale.owner]).type).toBe("wait");
+        const fresh = createPlacement({ isListed: true, isFresh: true });
+        expect(fresh.place([fresh.owner])).toMatchObject({ type: "refuse", refusal: { type: "owner-unreachable" } });
+    });
+
     it("sends to a stale owner that answers: it refuses keys that it has given up", () => {
         const { owner, place } = createPlacement({ isListed: true, isFresh: false });
         expect(place()).toEqual({ type: "target", target: owner });
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -66,7 +66,7 @@
             case "not-run":
                 return owner === undefined || query.disowned.has(owner) || !query.tried.has(owner);
             case "not-sent":
-                return (owner !== undefined && !query.tried.has(owner)) || !this.view.ownersAreFresh();
+                return (owner !== undefined && !query.unreached.has(owner)) || !this.view.ownersAreFresh();
             case "silent":
                 // Only the owner can run it, and it may be doing so.
                 return false;
@@ -95,9 +95,9 @@
         if (query.disowned.has(owner)) {
             return { type: "wait", longestMs: MOVE_WAIT_MS };
         }
-        if (owner.isSuspect()) {
+        if (owner.isSuspect() || query.unreached.has(owner)) {
             return this.unlessStale(
-                this.refusal("owner-unreachable", `Owner ${owner.id} doesn't answer.`, NO_OWNER_PAUSE_S),
+                this.refusal("owner-unreachable", `Owner ${owner.id} can't be reached.`, NO_OWNER_PAUSE_S),
             );
         }
         return this.unlessFull(owner, query);
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -44,6 +44,8 @@
     service: string;
     /** Targets that it was sent to, or that couldn't be reached. */
     tried: ReadonlySet<GatewayTarget>;
+    /** Targets that couldn't be reached, so that nothing was sent to them. */
+    unreached: ReadonlySet<GatewayTarget>;
     /** Targets that stated not to own its key. */
     disowned: ReadonlySet<GatewayTarget>;
     /** Milliseconds until the final answer is due. */
@@ -117,6 +119,7 @@
     /** All attempts in their order, with those that sent nothing. */
     readonly attempts: AttemptRecord[] = [];
     private readonly tried = new Set<GatewayTarget>();
+    private readonly unreached = new Set<GatewayTarget>();
     private readonly disowned = new Set<GatewayTarget>();
     /** Milliseconds from the arrival to the time at which the final answer is due. */
     readonly allowedMs: number;
@@ -192,8 +195,8 @@
     }
 
     private query(): PlacementQuery {
-        const { call, route, service, tried, disowned } = this;
-        return { call, route, service, tried, disowned, leftMs: this.leftMs() };
+        const { call, route, service, tried, unreached, disowned } = this;
+        return { call, route, service, tried, unreached, disowned, leftMs: this.leftMs() };
     }
 
     private waitForOwner(longestMs: number): void {
@@ -427,6 +430,7 @@
                 this.services.refusedConnection(target);
             }
             this.tried.add(target);
+            this.unreached.add(target);
             const text = `Target ${target.id} can't be reached (${failure.type}).`;
             this.lastRefusal = refuse("owner-unreachable", text, this.pauseSeconds());
             this.next(attempt, "not-sent");
