Report load to the instance that assigns keys

Change: each instance sends the assigner a datagram a second with its requests by key and what it learned of targets. The lease's row names the address. Reports are advice: lost ones cost evenness only, and an instance without a port goes on without them.

--- a/src/commands/__tests__/explain.test.ts
+++ b/src/commands/__tests__/explain.test.ts
@@ -47,6 +47,7 @@
             line(115, "a2", "ownership: Keys 40 to 60 of service stock have the new owner t3.", { fence: 9 }),
             line(115, "a2", "ownership: Keys 61 to 80 of service stock have the new owner t3.", { fence: 10 }),
             line(116, "a2", "platform: The store doesn't answer."),
+            line(111, "a2", "membership: Target t1 has left.", { cause: "entry gone" }),
         ].join("\n"),
     );
     return [first, second];
--- a/src/commands/explainRequest.ts
+++ b/src/commands/explainRequest.ts
@@ -56,6 +56,16 @@
     );
 };
 
+/** Leaves out what an instance says that others, or the ones that served the request, say too. */
+const withoutEchoes = (lines: readonly LogLine[], serving: ReadonlySet<string | undefined>): LogLine[] => {
+    const said = new Set(lines.filter(({ instance }) => serving.has(instance)).map(({ message }) => message));
+    return lines.filter(({ instance, message }) => {
+        const isEcho = !serving.has(instance) && said.has(message);
+        said.add(message);
+        return !isEcho;
+    });
+};
+
 /**
  * The lines that explain how a request ended, in the order of their times: its own; those about the targets that it was
  * sent to and about the owners of its key, by any instance; and those about the state of the instance that served it.
@@ -78,7 +88,8 @@
                 (line.instance === request.instance && STATE_MESSAGE.test(line.message))
             );
         });
-    return lines
+    const found = lines
         .filter(line => own.includes(line) || isContext(line))
         .sort((first, second) => Date.parse(first.time) - Date.parse(second.time));
+    return withoutEchoes(found, new Set(own.map(({ instance }) => instance)));
 };
--- /dev/null
+++ b/src/process/gateway/__tests__/loadExchange.test.ts
@@ -0,0 +1,63 @@
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
+import { waitFor } from "../../../../test/support/waitFor.js";
+import { openDatagramPort } from "../../../connection/datagramPort.js";
+import { LoadExchange, parsePeerAddress, type PeerAddress } from "../loadExchange.js";
+import type { LoadReport } from "../loadReport.js";
+
+const HOST = "127.0.0.1";
+
+const createExchange = (port: number, assigner: () => PeerAddress | undefined, reports: LoadReport[] = []) => {
+    const clock = new ManualClock();
+    const received: LoadReport[] = [];
+    const errors: string[] = [];
+    const exchange = new LoadExchange({
+        address: { host: HOST, port },
+        clock,
+        logger: { ...SILENT_LOGGER, error: message => void errors.push(message) },
+        assigner,
+        collect: () => reports.splice(0),
+        received: report => void received.push(report),
+    });
+    return { exchange, clock, received, errors };
+};
+
+/** A UDP port that was free a moment ago. */
+const freePort = async (): Promise<number> => {
+    const opened = (await openDatagramPort({ host: HOST, port: 0, received: () => undefined }))._unsafeUnwrap();
+    opened.dispose();
+    return opened.port;
+};
+
+describe("LoadExchange", () => {
+    it("brings what an instance saw to the assigner, past datagrams that are no reports", async () => {
+        const port = await freePort();
+        const assigner = createExchange(port, () => undefined);
+        await assigner.exchange.start();
+        const report: LoadReport = { service: "stock", keys: [[7, 2]], targets: [] };
+        const other = createExchange(0, () => ({ host: HOST, port }), [report]);
+        await other.exchange.start();
+        const stranger = (await openDatagramPort({ host: HOST, port: 0, received: () => undefined }))._unsafeUnwrap();
+        stranger.send({ host: HOST, port }, Buffer.from("nonsense"));
+        other.clock.advance(1_000);
+        await waitFor(() => assigner.received.length === 1);
+        expect(assigner.received).toEqual([report]);
+        stranger.dispose();
+        assigner.exchange.dispose();
+        other.exchange.dispose();
+    });
+
+    it("goes on without reports when its port is taken", async () => {
+        const taken = (await openDatagramPort({ host: HOST, port: 0, received: () => undefined }))._unsafeUnwrap();
+        const { exchange, errors } = createExchange(taken.port, () => undefined);
+        await exchange.start();
+        expect(errors).toHaveLength(1);
+        exchange.dispose();
+        taken.dispose();
+    });
+
+    it("reads only whole addresses", () => {
+        expect(parsePeerAddress("10.1.0.15:7620")).toEqual({ host: "10.1.0.15", port: 7620 });
+        expect([undefined, "", "10.1.0.15", "10.1.0.15:x"].map(parsePeerAddress)).toEqual(Array(4).fill(undefined));
+    });
+});
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -27,6 +27,8 @@
     instance: z.string(),
     incarnation: z.string(),
     renewal: z.number().int(),
+    /** Where the holder takes reports of load, as `HOST:PORT`. */
+    peerAddress: z.string().optional(),
     /** The store's clock at the time of the write at the latest, in milliseconds; missing when the writer didn't know it. */
     writtenMs: z.number().optional(),
 });
@@ -63,6 +65,7 @@
     private storeTime: StoreTime | undefined;
     /** Version of the row when this process last held the lease. */
     private heldVersion: number | undefined;
+    private holderAddress: string | undefined;
     private disposed = false;
     private cancelTimer: TimerCancellation = () => undefined;
 
@@ -72,6 +75,8 @@
             instance: string;
             /** Differs at each start of the instance. */
             incarnation: string;
+            /** Where this instance takes reports of load, as `HOST:PORT`. */
+            peerAddress?: string;
             clock: Clock;
             logger: Logger;
             /** Called when the lease was got; `isContinuous` when nobody else has held it since this process last did. */
@@ -94,6 +99,11 @@
         return this.options.clock.monotonicMs() < this.heldUntil;
     }
 
+    /** Where another instance takes reports of load, if it held the lease when this one looked last. */
+    get assignerAddress(): string | undefined {
+        return this.isHolder ? undefined : this.holderAddress;
+    }
+
     /** Version of the lease's row, which transactions of the holder expect. */
     get version(): number {
         return this.rowVersion ?? 0;
@@ -162,6 +172,7 @@
         }
         // One process runs under an instance's name at a time, so an earlier one under this name has ended.
         const isFree = lease === undefined || lease.instance === instance;
+        this.holderAddress = isFree ? undefined : lease.peerAddress;
         const seenMs = now - this.rowSeenAt;
         const writtenAgoMs = lease?.writtenMs === undefined ? 0 : storeMs - lease.writtenMs;
         if (isFree || Math.max(seenMs, writtenAgoMs) > LEASE_MS * (1 + CLOCK_DRIFT)) {
@@ -175,7 +186,8 @@
         const sentAt = clock.monotonicMs();
         const offsetMs = this.offsetMs();
         const writtenMs = this.storeMsAtLatest(sentAt, offsetMs);
-        const lease: Lease = { instance, incarnation, renewal: ++this.renewal, writtenMs };
+        const { peerAddress } = this.options;
+        const lease: Lease = { instance, incarnation, renewal: ++this.renewal, writtenMs, peerAddress };
         const name = { table: LEASE_TABLE, key: LEASE_KEY };
         const expectedVersion = this.version;
         const written = await store.transact({
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -22,6 +22,8 @@
 import { GatewayTarget } from "./gatewayTarget.js";
 import { ASSIGNMENT_TABLE, KeyAssigner } from "./keyAssigner.js";
 import { decodeAssignment, KeyMap } from "./keyMap.js";
+import { LoadExchange, parsePeerAddress, type PeerAddress } from "./loadExchange.js";
+import type { LoadReport } from "./loadReport.js";
 import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
 import type { OwnershipCalls } from "./ownershipCalls.js";
 import { startReadinessServer, type ReadinessServer } from "./readinessServer.js";
@@ -85,6 +87,8 @@
     domain: string;
     callers: { host: string; port: number };
     readiness: { host: string; port: number };
+    /** Where other instances report load; nowhere when left out. */
+    peers?: PeerAddress;
     /** Where metrics are served; nowhere when left out. */
     metrics?: { host: string; port: number };
     /** Time that the process is given to end, in milliseconds. */
@@ -195,6 +199,7 @@
             store: platform.store,
             instance,
             incarnation: randomUUID(),
+            peerAddress: options.peers === undefined ? undefined : `${options.peers.host}:${options.peers.port}`,
             clock,
             logger: loggers("ownership"),
             gained: isContinuous => {
@@ -274,6 +279,7 @@
         this.disposables.add(repeat(clock, OUTAGE_CHECK_MS, () => this.checkOutage()));
         this.readiness = await startReadinessServer({ ...readiness, isReady: () => this.isReady() });
         const port = await this.server.listen(callers.port, callers.host);
+        await this.exchangeLoad();
         const metrics = await this.serveMetrics();
         loggers("daemon").info("Started.", { domain, callers: `${callers.host}:${port}`, metrics });
         return { callers: port, readiness: this.readiness.port, metrics };
@@ -367,6 +373,49 @@
         };
     }
 
+    private async exchangeLoad(): Promise<void> {
+        const { peers, clock, loggers } = this.options;
+        if (peers === undefined) {
+            return;
+        }
+        const exchange = new LoadExchange({
+            address: peers,
+            clock,
+            logger: loggers("peers"),
+            assigner: () => parsePeerAddress(this.lease.assignerAddress),
+            collect: () => this.collectLoad(),
+            received: report => this.learnLoad(report),
+        });
+        this.disposables.add(exchange);
+        await exchange.start();
+    }
+
+    /** What this instance saw of services whose keys are assigned, since the last call. */
+    private collectLoad(): LoadReport[] {
+        const targets = [...this.targets.values()];
+        return [...this.traffic].map(([service, traffic]) => ({
+            service,
+            keys: traffic.takeUnreported(),
+            targets: targets
+                .filter(target => target.listed.entry.service === service)
+                .flatMap(target => target.takeReport() ?? []),
+        }));
+    }
+
+    private learnLoad({ service, keys, targets }: LoadReport): void {
+        if (this.config.current?.service(service)?.keyed !== true) {
+            return;
+        }
+        const traffic = this.trafficOf(service);
+        keys.forEach(([key, requests]) => traffic.add(key, requests));
+        for (const report of targets) {
+            const listed = this.directory.get(report.id);
+            if (listed?.entry.service === service && listed.entry.startedAtMs === report.startedAtMs) {
+                this.targetOf(listed).learn(report);
+            }
+        }
+    }
+
     /** Serves the metrics. An address that is taken costs the metrics, not the service. */
     private async serveMetrics(): Promise<number | undefined> {
         const { metrics: address, clock, loggers } = this.options;
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -2,6 +2,7 @@
 import type { ReportedLoad } from "../../request/gatewayCall.js";
 import type { Clock } from "../clock.js";
 import type { PlacementCandidate } from "./chooseTarget.js";
+import type { TargetReport } from "./loadReport.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 
 /** Weight of the newest sample in moving averages of times and failures. */
@@ -29,6 +30,7 @@
     private reported: { load: ReportedLoad; at: number; ownInFlight: number } | undefined;
     private serviceMs = INITIAL_SERVICE_MS;
     private samples = 0;
+    private unreported = { answers: 0, serviceMs: 0 };
     private failureShare = 0;
     private failureAt = 0;
     /** Reported load over the slots, smoothed. */
@@ -86,12 +88,32 @@
         const weight = Math.max(SAMPLE_WEIGHT, 1 / (this.samples + 1));
         this.serviceMs += (sample - this.serviceMs) * weight;
         this.samples++;
+        this.unreported.answers++;
+        this.unreported.serviceMs += sample;
         this.lastAnswerAt = this.clock.monotonicMs();
         this.unanswered = 0;
         this.suspectUntil = -Infinity;
         this.countFailure(0);
     }
 
+    /** What this instance has learned from answers since the last call, if there were any. */
+    takeReport(): TargetReport | undefined {
+        const { answers, serviceMs } = this.unreported;
+        this.unreported = { answers: 0, serviceMs: 0 };
+        const { id, startedAtMs } = this.listed.entry;
+        return answers === 0
+            ? undefined
+            : { id, startedAtMs, answers, serviceMs: serviceMs / answers, pressure: this.pressure };
+    }
+
+    /** Learns from what another instance has learned. */
+    learn({ answers, serviceMs, pressure }: TargetReport): void {
+        const weight = Math.max(1 - (1 - SAMPLE_WEIGHT) ** answers, answers / (this.samples + answers));
+        this.serviceMs += (serviceMs - this.serviceMs) * weight;
+        this.samples += answers;
+        this.pressure += (pressure - this.pressure) * PRESSURE_WEIGHT;
+    }
+
     /** Counts a request that the target shed or failed. */
     failed(): void {
         this.lastAnswerAt = this.clock.monotonicMs();
--- a/src/process/gateway/keyTraffic.ts
+++ b/src/process/gateway/keyTraffic.ts
@@ -7,9 +7,12 @@
 /** Requests that are assumed to lie evenly on all keys: a sample of few requests says little about most keys. */
 const EVEN_REQUESTS = 40;
 
+/** Most keys of which requests are kept for the next report; more than an instance serves between two. */
+const MAX_UNREPORTED_KEYS = 2_000;
+
 /**
- * Recent requests by key, as seen by this instance. The balancer spreads callers over instances by a hash, so one
- * instance's requests are a sample of all.
+ * Recent requests by key: those of this instance, and those that others have reported. The balancer spreads callers over
+ * instances by a hash, so one instance's requests are a sample of all when there are no reports.
  *
  * @example
  * traffic.record(4711);
@@ -18,10 +21,28 @@
 export class KeyTraffic {
     private readonly counts = new Float32Array(KEY_COUNT);
     private total = 0;
+    private unreported = new Map<number, number>();
 
+    /** Counts a request that this instance got. */
     record(key: number): void {
-        this.counts[key]++;
-        this.total++;
+        this.add(key, 1);
+        const count = this.unreported.get(key) ?? 0;
+        if (count > 0 || this.unreported.size < MAX_UNREPORTED_KEYS) {
+            this.unreported.set(key, count + 1);
+        }
+    }
+
+    /** Counts requests that another instance got. */
+    add(key: number, requests: number): void {
+        this.counts[key] += requests;
+        this.total += requests;
+    }
+
+    /** Requests of this instance by key since the last call. */
+    takeUnreported(): [key: number, requests: number][] {
+        const entries = [...this.unreported];
+        this.unreported = new Map();
+        return entries;
     }
 
     /** Makes older requests count less; call it every `DECAY_PERIOD_MS`. */
