--- a/src/process/callerRequests.ts
+++ b/src/process/callerRequests.ts
@@ -3,7 +3,7 @@
 import { refuse, type Refusal } from "../request/refusal.js";
 import { RoutedRequest, type RoutingServices } from "../request/routedRequest.js";
 import type { RequestKinds } from "../version/requestKinds.js";
-import type { DaemonMetrics } from "./observability/daemonMetrics.js";
+import type { RequestObserver } from "./observability/requestObserver.js";
 import type { Logger } from "./observability/logger.js";
 
 const NO_ANSWER: AnsweredRequest = { cancel: () => undefined, credit: () => undefined };
@@ -25,7 +25,7 @@
             /** Kinds of the bundle in force; `undefined` before the first one. */
             kinds: () => RequestKinds | undefined;
             routing: RoutingServices;
-            observer: Pick<DaemonMetrics, "requestEnded">;
+            observer: Pick<RequestObserver, "requestEnded">;
             log: Pick<Logger, "debug">;
         },
     ) {}
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -25,7 +25,7 @@
     type ControlHandlerOptions,
     type NoteHandler,
 } from "./membership/controlHandler.js";
-import type { DaemonMetrics } from "./observability/daemonMetrics.js";
+import type { RequestObserver } from "./observability/requestObserver.js";
 import { movedLoadSchema } from "./balance/dispatchedLoad.js";
 import { Dispatchers } from "./dispatch/dispatchers.js";
 import { isInstanceDrainRequested, isTargetDrainRequested } from "./ownership/drainRequests.js";
@@ -137,7 +137,7 @@
     /** Called when an operator has asked this instance to end gracefully. */
     drainRequested: () => void;
     /** Told of each request that ended, for the metrics. */
-    observer: Pick<DaemonMetrics, "requestEnded" | "takenOver" | "headOfLineDelay">;
+    observer: RequestObserver;
     /** Runs synchronous control work, whose time is counted against its budget. */
     controlWork: <Value>(work: () => Value) => Value;
 }
--- a/src/process/observability/daemonMetrics.ts
+++ b/src/process/daemonMetrics.ts
@@ -1,12 +1,13 @@
-import { peerTraffic } from "../../connection/peerProtocol.js";
-import { outcomeOfRefusal, type Refusal } from "../../request/refusal.js";
-import type { DaemonChange } from "../audit/auditedChange.js";
-import type { AuditTrail } from "../audit/auditTrail.js";
-import type { ControlCost } from "./controlCost.js";
-import type { Daemon } from "../daemon.js";
-import type { CounterCell, Metrics, SummaryCell } from "./metrics.js";
-import { PeakWindow } from "./peakWindow.js";
-import { RING_SIZE, slicesSize } from "../ownership/sliceMap.js";
+import { peerTraffic } from "../connection/peerProtocol.js";
+import { outcomeOfRefusal, type Refusal } from "../request/refusal.js";
+import type { DaemonChange } from "./audit/auditedChange.js";
+import type { AuditTrail } from "./audit/auditTrail.js";
+import type { ControlCost } from "./observability/controlCost.js";
+import type { Daemon } from "./daemon.js";
+import type { CounterCell, Metrics, SummaryCell } from "./observability/metrics.js";
+import type { RequestObserver } from "./observability/requestObserver.js";
+import { PeakWindow } from "./observability/peakWindow.js";
+import { RING_SIZE, slicesSize } from "./ownership/sliceMap.js";
 
 /** Silence of the platform from which it counts as down, in milliseconds. */
 const PLATFORM_DOWN_MS = 10_000;
@@ -25,7 +26,7 @@
  * const observer = new DaemonMetrics(metrics, cost);
  * observer.follow(daemon, audit);
  */
-export class DaemonMetrics {
+export class DaemonMetrics implements RequestObserver {
     private readonly cells = new Map<string, ServiceCells>();
     private trafficSeen = 0;
     private droppedSeen = 0;
@@ -37,7 +38,6 @@
         private readonly cost: ControlCost,
     ) {}
 
-    /** A request of a caller ended: answered, or with a refusal. `service` is empty when none could be told. */
     requestEnded(service: string, refusal: Refusal | undefined, elapsedMs: number, arrivedAtMs: number): void {
         const cells = this.cellsOf(service);
         cells.peak.arrived(arrivedAtMs);
@@ -68,12 +68,10 @@
         }
     }
 
-    /** Time from the suspicion of a member or the loss of a target to the new assignment, in milliseconds. */
     takenOver(kind: "dispatcher" | "target", elapsedMs: number): void {
         this.metrics.summary("takeover_seconds", { kind }).record(elapsedMs * 1_000);
     }
 
-    /** Time that a short request waited while long work held a slot of its target, in milliseconds. */
     headOfLineDelay(service: string, delayMs: number): void {
         this.metrics.summary("head_of_line_delay_seconds", { service }).record(delayMs * 1_000);
     }
--- a/src/process/dispatch/arrivalHold.ts
+++ b/src/process/dispatch/arrivalHold.ts
@@ -1,6 +1,6 @@
 import type { TargetTask } from "../../request/targetTask.js";
 import type { Clock } from "../runtime/clock.js";
-import { HeldTasks } from "../runtime/heldTasks.js";
+import { HeldTasks } from "./heldTasks.js";
 import type { Slice } from "../store/rows.js";
 import { slicesContain, subtractSlices } from "../ownership/sliceMap.js";
 
--- a/src/process/dispatch/dispatchServices.ts
+++ b/src/process/dispatch/dispatchServices.ts
@@ -1,12 +1,10 @@
 import type { Clock } from "../runtime/clock.js";
 import type { EndedRun } from "../membership/earlierRuns.js";
-import type { TargetLoss } from "../ownership/grantKeeper.js";
 import type { Logger } from "../observability/logger.js";
 import type { Quarantine } from "./quarantine.js";
 import type { RetryBudget } from "./retryBudget.js";
 import type { ServiceRecords } from "../records/serviceRecords.js";
 import type { TableReplica } from "../store/tableReplica.js";
-import type { TargetDispatcher } from "./targetDispatcher.js";
 
 /** What a dispatcher uses of the process. */
 export interface DispatchServices {
@@ -49,6 +47,4 @@
     headOfLineDelay: (service: string, delayMs: number) => void;
     /** A request ended at a target that has another dispatcher by now. */
     runEndedAfterHandOver: (ended: EndedRun) => void;
-    targetLost: (dispatcher: TargetDispatcher, loss: TargetLoss) => void;
-    targetDraining: (dispatcher: TargetDispatcher) => void;
 }
--- a/src/process/dispatch/dispatchers.ts
+++ b/src/process/dispatch/dispatchers.ts
@@ -10,7 +10,7 @@
 import { normalizeSlices, subtractSlices } from "../ownership/sliceMap.js";
 import type { TableReplica } from "../store/tableReplica.js";
 import type { DispatchServices } from "./dispatchServices.js";
-import { TargetDispatcher } from "./targetDispatcher.js";
+import { TargetDispatcher, type TargetDispatcherEvents } from "./targetDispatcher.js";
 
 /** Age from which a handed-over load is out of date, as when the hand-over was not written, in milliseconds. */
 const EARLIER_LOAD_LIMIT_MS = 5_000;
@@ -36,7 +36,7 @@
     constructor(
         private readonly options: {
             replica: TableReplica;
-            services: DispatchServices;
+            services: DispatchServices & TargetDispatcherEvents;
             records: ServiceRecords;
             serviceOf: (name: string) => BundleService | undefined;
             /**
--- a/src/process/runtime/heldTasks.ts
+++ b/src/process/dispatch/heldTasks.ts
@@ -1,6 +1,6 @@
 import { refuse } from "../../request/refusal.js";
 import { deadlineRefusal, type TargetTask } from "../../request/targetTask.js";
-import type { Clock } from "./clock.js";
+import type { Clock } from "../runtime/clock.js";
 
 /** Most requests that wait for the end of a move or for a grant, per target. */
 export const DEFAULT_HELD_LIMIT = 2_000;
--- a/src/process/dispatch/targetDispatcher.ts
+++ b/src/process/dispatch/targetDispatcher.ts
@@ -12,7 +12,7 @@
 import type { EarlierRuns } from "../membership/earlierRuns.js";
 import { GrantContent } from "../ownership/grantContent.js";
 import { GrantKeeper, type TargetLoss, type TargetReport } from "../ownership/grantKeeper.js";
-import { HeldTasks } from "../runtime/heldTasks.js";
+import { HeldTasks } from "./heldTasks.js";
 import { OnceAdmission } from "../records/onceAdmission.js";
 import { targetRowKey, targetRowSchema, type Slice, type TargetRow } from "../store/rows.js";
 import { SendWatch } from "./sendWatch.js";
@@ -26,6 +26,12 @@
 /** Mean service times that the drain of a slice is expected to take. */
 const DRAIN_SERVICE_TIMES = 3;
 
+/** What a dispatcher tells about its target. */
+export interface TargetDispatcherEvents {
+    targetLost: (dispatcher: TargetDispatcher, loss: TargetLoss) => void;
+    targetDraining: (dispatcher: TargetDispatcher) => void;
+}
+
 /**
  * Dispatches all requests for one target while this instance is the one named in the target's row.
  *
@@ -63,7 +69,7 @@
     constructor(
         service: BundleService,
         row: TargetRow,
-        private readonly services: DispatchServices,
+        private readonly services: DispatchServices & TargetDispatcherEvents,
         /** Dispatcher from which the target was taken without a hand-over; empty if there was none. */
         readonly takenFrom: string,
     ) {
--- a/src/process/entryInstance.ts
+++ b/src/process/entryInstance.ts
@@ -8,7 +8,7 @@
 import { ControlCost } from "./observability/controlCost.js";
 import { repeat, systemClock } from "./runtime/clock.js";
 import { Daemon, type DaemonOptions } from "./daemon.js";
-import { DaemonMetrics } from "./observability/daemonMetrics.js";
+import { DaemonMetrics } from "./daemonMetrics.js";
 import { DisposableStore } from "./runtime/disposableStore.js";
 import { instanceOptions } from "./instanceOptions.js";
 import { createLoggers } from "./observability/logger.js";
--- a/src/process/membership/__tests__/earlierRuns.test.ts
+++ b/src/process/membership/__tests__/earlierRuns.test.ts
@@ -4,7 +4,7 @@
 import type { DispatchServices } from "../../dispatch/dispatchServices.js";
 import type { TargetRow } from "../../store/rows.js";
 import { TableReplica } from "../../store/tableReplica.js";
-import { TargetDispatcher } from "../../dispatch/targetDispatcher.js";
+import { TargetDispatcher, type TargetDispatcherEvents } from "../../dispatch/targetDispatcher.js";
 
 const ROW: TargetRow = {
     service: "orders",
@@ -37,7 +37,7 @@
             leaseUntil: () => Infinity,
             grantsUntil: () => Infinity,
             targetLost: () => undefined,
-        } as unknown as DispatchServices;
+        } as unknown as DispatchServices & TargetDispatcherEvents;
         dispatcher = new TargetDispatcher(SERVICE, ROW, services, "");
         dispatcher.expectEarlierRuns({ remainingMs: 2_000, running: [{ position: 5, remainingMs: 2_000 }] });
     });
--- a/src/process/membership/controlHandler.ts
+++ b/src/process/membership/controlHandler.ts
@@ -2,6 +2,7 @@
 import { noteControl, type Control, type Note } from "../../connection/peerProtocol.js";
 import type { DomainLease } from "./domainLease.js";
 import type { Membership } from "./membership.js";
+import type { ControlPeer } from "./peers.js";
 import { handedOverLoadSchema, type HandedOverLoad } from "../balance/dispatchedLoad.js";
 import { earlierRunsSchema, type EarlierRuns } from "./earlierRuns.js";
 import { parseJson } from "../runtime/parseJson.js";
@@ -62,12 +63,6 @@
     return notes;
 };
 
-/** The member at the other end of a control stream. */
-export interface ControlPeer {
-    incarnation: string;
-    domain: string;
-}
-
 /**
  * Handles the control messages of one peer. On a stream that the peer opened, it is known from its hello on.
  *
--- a/src/process/membership/peers.ts
+++ b/src/process/membership/peers.ts
@@ -2,7 +2,6 @@
 import { ForwardLink } from "../../connection/forwardLink.js";
 import { noteControl, type Control, type PeerChannel } from "../../connection/peerProtocol.js";
 import type { Clock } from "../runtime/clock.js";
-import type { ControlPeer } from "./controlHandler.js";
 import type { DomainLease } from "./domainLease.js";
 import { observersOf } from "./observers.js";
 import { rendezvousOrder } from "./rendezvous.js";
@@ -34,6 +33,12 @@
     introducedAs: string;
 }
 
+/** The member at the other end of a control stream. */
+export interface ControlPeer {
+    incarnation: string;
+    domain: string;
+}
+
 /** Who this instance is in the membership. */
 export interface Identity {
     instance: string;
--- a/src/process/observability/__tests__/metrics.test.ts
+++ b/src/process/observability/__tests__/metrics.test.ts
@@ -5,7 +5,7 @@
 import type { AuditTrail } from "../../audit/auditTrail.js";
 import { ControlCost } from "../controlCost.js";
 import type { Daemon } from "../../daemon.js";
-import { DaemonMetrics } from "../daemonMetrics.js";
+import { DaemonMetrics } from "../../daemonMetrics.js";
 import { loadImbalance } from "../../balance/loadImbalance.js";
 import { Metrics } from "../metrics.js";
 import { renderMetricsPage } from "../metricsPage.js";
