--- a/src/commands/__tests__/explain.test.ts
+++ b/src/commands/__tests__/explain.test.ts
@@ -39,6 +39,7 @@
             `edge-a1 | ${line(120, "a1", "callers: Request r7 ended: no-owner.", { request: "r7", key: 50, service: "stock", targets: "t1" })}`,
             line(120, "a1", "callers: Request r8 ended: no-owner.", { request: "r8", key: 50, service: "stock" }),
             line(121, "a1", "membership: Target t1 is usable."),
+            line(122, "a1", "ownership: Keys 50 to 51 of service stock have the new owner t4."),
         ].join("\n"),
     );
     writeFileSync(
@@ -60,6 +61,7 @@
         "membership: Target t1 has left.",
         "ownership: Keys 40 to 60 of service stock have the new owner t3.",
         "callers: Request r7 ended: no-owner.",
+        "ownership: Keys 50 to 51 of service stock have the new owner t4.",
     ]);
 });
 
--- a/src/commands/explainRequest.ts
+++ b/src/commands/explainRequest.ts
@@ -3,6 +3,8 @@
 
 /** Time before the end of a request from which lines of its instance and targets are shown, in milliseconds. */
 export const CONTEXT_MS = 10_000;
+/** Time after the end of a request up to which lines about the owners of its key are shown, in milliseconds. */
+export const OWNERS_AFTER_MS = 3_000;
 
 const lineSchema = z
     .object({
@@ -19,7 +21,7 @@
 /** Lines of an instance that tell about the config, the store, the assignment of keys, and its start and end. */
 const STATE_MESSAGE =
     /^(bundles|daemon|platform): |^ownership: (The lease|Another instance|Assigning keys|The assignment)/;
-const KEYS_MESSAGE = /Keys (\d+) to (\d+) of service (\S+) have the new owner (\S+)\./;
+const KEYS_MESSAGE = /Keys (\d+) to (\d+) of service (\S+) /;
 const TARGET_MESSAGE = /Target (\S+?)[.,:]? /g;
 
 /**
@@ -68,7 +70,7 @@
 
 /**
  * The lines that explain how a request ended, in the order of their times: its own; those about the targets that it was
- * sent to and about the owners of its key, by any instance; and those about the state of the instance that served it.
+ * sent to and about the owners of its key, by any instance, the latter also shortly after its end; and those about the state of the instance that served it.
  *
  * @example
  * explainRequest(files.flatMap(readLogLines), "9c41d07be2a35f68");
@@ -78,14 +80,17 @@
     const isContext = (line: LogLine): boolean =>
         own.some(request => {
             const sinceMs = Date.parse(request.time) - Date.parse(line.time);
-            if (sinceMs < 0 || sinceMs > CONTEXT_MS || line.request !== undefined) {
+            if (sinceMs < -OWNERS_AFTER_MS || sinceMs > CONTEXT_MS || line.request !== undefined) {
                 return false;
             }
+            if (isAboutKey(line, request)) {
+                return true;
+            }
             const targets = targetsOf(request);
             return (
-                isAboutKey(line, request) ||
-                targetsIn(line.message).some(target => targets.has(target)) ||
-                (line.instance === request.instance && STATE_MESSAGE.test(line.message))
+                sinceMs >= 0 &&
+                (targetsIn(line.message).some(target => targets.has(target)) ||
+                    (line.instance === request.instance && STATE_MESSAGE.test(line.message)))
             );
         });
     const found = lines
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -354,7 +354,7 @@
     }
 
     private async move(move: KeyMove): Promise<void> {
-        const { clock, logger, service } = this.options;
+        const { clock, lease, logger, service } = this.options;
         const receiver = [...this.known.values()].find(
             ({ listed, ended }) => listed.entry.id === move.target && !ended && listed.usable,
         );
@@ -366,17 +366,29 @@
         for (const piece of pieces) {
             const from = Math.max(piece.from, move.from);
             const to = Math.min(piece.to, move.to);
+            const keys = `Keys ${from} to ${to} of service ${service}`;
+            if (piece.target !== "") {
+                logger.info(`${keys} are being taken from ${piece.target}.`, {
+                    receiver: move.target,
+                    fence: piece.fence,
+                });
+            }
             const taken = await this.take(piece, from, to);
             if (taken === undefined) {
+                logger.info(`${keys} stay with ${piece.target || "no owner"}.`, {
+                    cause: lease.isHeld() ? "not released" : "lease lost",
+                    ms: Math.round(clock.monotonicMs() - began),
+                });
                 return;
             }
             const { id, startedAtMs, address } = receiver.listed.entry;
             const range = { from, to, target: id, startedAtMs, address, handover: taken.handover };
             const fence = await this.commit(range);
             if (fence === undefined) {
+                logger.info(`${keys} stay with ${piece.target || "no owner"}.`, { cause: "not committed" });
                 return;
             }
-            logger.info(`Keys ${from} to ${to} of service ${service} have the new owner ${id}.`, {
+            logger.info(`${keys} have the new owner ${id}.`, {
                 source: piece.target,
                 fence,
                 handover: taken.handover !== undefined,
