--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import type { LoadReport } from "./loadReport.js";
 import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
 import type { OwnershipCalls } from "./ownershipCalls.js";
+import { IDLE_RETRIES_PER_SECOND, MINIMUM_RETRIES, RETRY_SHARE } from "./retryShare.js";
 import { startReadinessServer, type ReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceBeliefs } from "./requestLog.js";
 import type { RowStore, StoredRow } from "./rowStore.js";
@@ -50,13 +51,6 @@
 const OUTAGE_MS = 1_000;
 /** Time between two looks for an outage, in milliseconds; a fraction of the time that makes one. */
 const OUTAGE_CHECK_MS = 250;
-/**
- * Retries as a share of requests. Half of what is allowed, since a burst may use what the quiet time before it has saved.
- */
-const RETRY_SHARE = 0.1;
-/** Retries that an instance has at least, and how many accrue a second; small, as all instances have them. */
-const MINIMUM_RETRIES = 1;
-const IDLE_RETRIES_PER_SECOND = 0.1;
 /** Share of a target's connections that all instances may use together, and the instances that share them at least. */
 const CONNECTION_SHARE = 0.8;
 const ASSUMED_INSTANCES = 12;
--- a/test/failure/gatewayAnswers.test.ts
+++ b/test/failure/gatewayAnswers.test.ts
@@ -218,6 +218,23 @@
         expect([targets[0].arrivals.length, targets[1].arrivals.length]).toEqual([0, 0]);
     });
 
+    it("keeps a connection in step whose target answered before it had read the whole body", async () => {
+        const answered: TargetArrival[] = [];
+        const open = await start(arrival => {
+            answered.push(arrival);
+            arrival.answer();
+        });
+        targets[0].answerBeforeBody = true;
+        const body = "x".repeat(90_000);
+        for (const round of [1, 2, 3]) {
+            const path = `/order/${round}`;
+            expect(await open.request("POST", path, { body })).toMatchObject({ status: 200, body: "whole" });
+        }
+        await waitFor(() => targets[0].bodies.length === 3);
+        expect(answered.map(({ method, url }) => `${method} ${url}`)).toEqual([1, 2, 3].map(n => `POST /order/${n}`));
+        expect(targets[0].bodies).toEqual([body, body, body]);
+    });
+
     it("finishes what runs when it is stopped, and closes connections between requests", async () => {
         const open = await start(arrival => void setTimeout(() => arrival.answer(), 600));
         const idle = open.connect();
--- a/test/support/scriptedTarget.ts
+++ b/test/support/scriptedTarget.ts
@@ -19,9 +19,16 @@
     /** Connections that callers have opened so far. */
     connections: () => number;
     script: (arrival: TargetArrival) => void;
+    /** Whether requests are handed to the script, with an empty body, before their bodies are read. */
+    answerBeforeBody: boolean;
+    /** Bodies that were read after the answer. */
+    bodies: string[];
     dispose: () => Promise<void>;
 }
 
+/** Time after which a target that answered early reads the rest of the body, in milliseconds. */
+const READ_ON_MS = 150;
+
 const parseHeaders = (lines: string[]): Map<string, string> =>
     new Map(
         lines.map(line => {
@@ -39,6 +46,8 @@
         arrivals: [],
         connections: () => connections,
         script,
+        answerBeforeBody: false,
+        bodies: [],
         dispose: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
@@ -75,18 +84,33 @@
         socket.on("close", () => sockets.delete(socket));
         socket.on("error", () => undefined);
         let buffered = "";
+        let isAnswered = false;
         socket.on("data", chunk => {
             buffered += chunk.toString("latin1");
             for (;;) {
                 const end = buffered.indexOf("\r\n\r\n");
                 const length = Number(/content-length: (\d+)/i.exec(buffered.slice(0, Math.max(end, 0)))?.[1] ?? 0);
-                if (end < 0 || buffered.length < end + 4 + length) {
+                if (end < 0) {
                     return;
                 }
                 const head = buffered.slice(0, end);
+                if (target.answerBeforeBody && !isAnswered) {
+                    isAnswered = true;
+                    received(socket, head, "");
+                    socket.pause();
+                    setTimeout(() => socket.resume(), READ_ON_MS);
+                }
+                if (buffered.length < end + 4 + length) {
+                    return;
+                }
                 const body = buffered.slice(end + 4, end + 4 + length);
                 buffered = buffered.slice(end + 4 + length);
-                received(socket, head, body);
+                if (isAnswered) {
+                    isAnswered = false;
+                    target.bodies.push(body);
+                } else {
+                    received(socket, head, body);
+                }
             }
         });
     });
