--- a/src/process/observability/metrics.ts
+++ b/src/process/observability/metrics.ts
@@ -40,12 +40,11 @@
 /** Significant digits of recorded times. */
 const DIGITS = 2;
 
-// The package's entry module also loads a log writer and WebAssembly, a tenth of a process's time to start.
-const Int32Histogram = histogramModule.default;
-type Histogram = InstanceType<typeof Int32Histogram>;
+type Histogram = InstanceType<typeof histogramModule.default>;
 
+// The package's entry module also loads a log writer and WebAssembly, a tenth of a process's time to start.
 const newHistogram = (): Histogram => {
-    const histogram = new Int32Histogram(1, MAX_RECORDED_US, DIGITS);
+    const histogram = new histogramModule.default(1, MAX_RECORDED_US, DIGITS);
     histogram.autoResize = false;
     return histogram;
 };
