--- a/src/process/gateway/keyTraffic.ts
+++ b/src/process/gateway/keyTraffic.ts
@@ -7,8 +7,8 @@
 /** Requests that are assumed to lie evenly on all keys: a sample of few requests says little about most keys. */
 const EVEN_REQUESTS = 40;
 
-/** Most keys of which requests are kept for the next report; more than an instance serves between two. */
-const MAX_UNREPORTED_KEYS = 2_000;
+/** Most keys of which requests are kept for the next report: busy keys are among the first, and reports cost the assigner time. */
+const MAX_UNREPORTED_KEYS = 500;
 
 /**
  * Recent requests by key: those of this instance, and those that others have reported. The balancer spreads callers over
