--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -51,7 +51,7 @@
  * for the holder until the next renewal.
  *
  * @example
- * const lease = new AssignerLease({ store, instance, incarnation, clock, logger, gained, lost });
+ * const lease = new AssignerLease({ store, instance, incarnation, clock, logger, gained });
  * lease.start();
  * lease.isHeld();
  */
@@ -82,7 +82,7 @@
             /** Called when the lease was got; `isContinuous` when nobody else has held it since this process last did. */
             gained: (isContinuous: boolean) => void;
             /** Called when the lease has ended for this process, which may get it again. */
-            lost: () => void;
+            lost?: () => void;
             random?: () => number;
         },
     ) {
@@ -283,7 +283,7 @@
     private loseIt(): void {
         this.isHolder = false;
         this.options.logger.info("The lease for assigning keys was lost.", { version: this.rowVersion });
-        this.options.lost();
+        this.options.lost?.();
     }
 
     private parse(value: Buffer): Lease | undefined {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,12 +1,7 @@
-import { randomUUID } from "node:crypto";
-import type { IncomingMessage } from "node:http";
-import type { Result } from "neverthrow";
-import { createGatewayServer, type CallFields, type GatewayServer } from "../../connection/gatewayServer.js";
-import type { Header } from "../../connection/peerProtocol.js";
-import type { AnswerFacts, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
+import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
+import type { GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest, type GatewayServices } from "../../request/gatewayRequest.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
-import type { RouteConfig } from "../../version/routeConfig.js";
 import { WeightedSplit } from "../../version/weightedSplit.js";
 import { repeat, type Clock } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
@@ -14,25 +9,22 @@
 import { Metrics, SUMMARY_WINDOW_MS } from "../observability/metrics.js";
 import { startMetricsServer } from "../observability/metricsServer.js";
 import { RetryBudget } from "../dispatch/retryBudget.js";
-import { AssignerLease } from "./assignerLease.js";
-import { ConfigKeeper, type ConfigProblem } from "./configKeeper.js";
+import { ConfigKeeper } from "./configKeeper.js";
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
-import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
-import { GatewayTarget } from "./gatewayTarget.js";
-import { ASSIGNMENT_TABLE, KeyAssigner } from "./keyAssigner.js";
-import { decodeAssignment, KeyMap } from "./keyMap.js";
-import { LoadExchange, parsePeerAddress, type PeerAddress } from "./loadExchange.js";
-import type { LoadReport } from "./loadReport.js";
-import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
-import type { OwnershipCalls } from "./ownershipCalls.js";
+import type { GatewayPlatform } from "./gatewayPlatform.js";
+import { GatewayTargets } from "./gatewayTargets.js";
+import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
+import { KeyAssigners } from "./keyAssigners.js";
+import { KeyOwners } from "./keyOwners.js";
+import { parsePeerAddress, type PeerAddress } from "./loadExchange.js";
 import { IDLE_RETRIES_PER_SECOND, MINIMUM_RETRIES, RETRY_SHARE } from "./retryShare.js";
 import { startReadinessServer, type ReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceBeliefs } from "./requestLog.js";
-import type { RowStore, StoredRow } from "./rowStore.js";
+import { reportCrashes } from "./reportCrashes.js";
+import type { StoredRow } from "./rowStore.js";
+import { SharedLoad } from "./sharedLoad.js";
 import { TableFollower } from "./tableFollower.js";
-import { TargetDirectory, type DirectoryTarget } from "./targetDirectory.js";
-import type { TargetEntry } from "./targetEntry.js";
 import { TargetPlacement } from "./targetPlacement.js";
 
 /** Time for which the store holds calls for changes of configs and targets, which are in force within seconds; in milliseconds. */
@@ -51,29 +43,11 @@
 const OUTAGE_MS = 1_000;
 /** Time between two looks for an outage, in milliseconds; a fraction of the time that makes one. */
 const OUTAGE_CHECK_MS = 250;
-/** Share of a target's connections that all instances may use together, and the instances that share them at least. */
-const CONNECTION_SHARE = 0.8;
-const ASSUMED_INSTANCES = 12;
 /** Time that a stopping instance goes on taking connections: the balancer needs it to notice. In milliseconds. */
 const BALANCER_NOTICE_MS = 3_000;
 /** Time between two looks for connections to close while stopping, in milliseconds. */
 const DRAIN_STEP_MS = 100;
 
-/** The platform as the gateway uses it; implemented outside the product. */
-export interface GatewayPlatform {
-    store: RowStore;
-    calls: OwnershipCalls;
-    /** Where the operator's config and the targets' entries are kept. */
-    tables: { config: string; configKey: string; targets: string };
-    decodeConfig(value: Buffer): Result<RouteConfig, ConfigProblem>;
-    /** The entry of a target, or `undefined` for a row that names none. */
-    decodeTarget(id: string, value: Buffer): TargetEntry | undefined;
-    fieldsOf(headers: IncomingMessage["headers"]): CallFields;
-    isReserved(header: string): boolean;
-    targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
-    factsOf(status: number, headers: Header[]): AnswerFacts;
-}
-
 /** What a gateway is started with. */
 export interface GatewayOptions {
     instance: string;
@@ -105,18 +79,15 @@
  */
 export class Gateway {
     private readonly config: ConfigKeeper;
-    private readonly directory: TargetDirectory;
-    private readonly targets = new Map<DirectoryTarget, GatewayTarget>();
-    private readonly keyMaps = new Map<string, KeyMap>();
-    private readonly ownerWaits = new Map<string, Set<() => void>>();
-    private readonly traffic = new Map<string, KeyTraffic>();
+    private readonly targets: GatewayTargets;
+    private readonly owners: KeyOwners;
+    private readonly load: SharedLoad;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
     private readonly ownersFollower: TableFollower;
     private readonly followers: TableFollower[];
-    private readonly lease: AssignerLease;
-    private readonly assigners = new Map<string, KeyAssigner>();
+    private readonly assigners: KeyAssigners;
     private readonly server: GatewayServer;
     private readonly services: GatewayServices;
     private readonly suspects: CrashSuspects;
@@ -134,23 +105,37 @@
             onChange: lookup => {
                 this.server.setLimits(lookup.config.limits);
                 this.split.reset();
-                this.updateAssigners();
+                this.assigners.update(lookup.config.services);
             },
         });
-        this.directory = new TargetDirectory({
+        this.targets = new GatewayTargets({
             clock,
             logger: loggers("membership"),
-            onChange: target => this.targetChanged(target),
+            domain: options.domain,
+            decode: platform.decodeTarget,
+            connectionLimit: service => this.config.current?.service(service)?.connectionLimit,
+            gone: id => {
+                this.suspects.targetEnded(id);
+                this.observer.targetGone(id);
+            },
+            graceMs: options.graceMs,
+        });
+        this.owners = new KeyOwners({ clock, logger: loggers("ownership") });
+        this.load = new SharedLoad({
+            clock,
+            logger: loggers("peers"),
+            targets: this.targets,
+            isKeyed: service => this.config.current?.service(service)?.keyed === true,
+            address: options.peers,
+            assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
         });
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
-            keyMap: service => this.keyMaps.get(service),
-            targets: service => this.directory.usable(service).map(target => this.targetOf(target)),
+            keyMap: service => this.owners.of(service),
+            targets: service => this.targets.usable(service),
             owner: (id, startedAtMs) => {
-                const listed = this.directory.get(id);
-                return listed?.usable === true && listed.entry.startedAtMs === startedAtMs
-                    ? this.targetOf(listed)
-                    : undefined;
+                const target = this.targets.get(id, startedAtMs);
+                return target?.listed.usable === true ? target : undefined;
             },
             ownersAreFresh: () => this.ownersFollower.isFresh,
             random: Math.random,
@@ -161,8 +146,8 @@
             waitMs: SHARED_WAIT_MS,
             pauseMs: () => OWNERS_CHANGES_PAUSE_MS,
             leastPauseMs: SHARED_CHANGES_PAUSE_MS,
-            replaced: rows => rows.forEach(row => this.assignmentChanged(row)),
-            changed: row => this.assignmentChanged(row),
+            replaced: rows => rows.forEach(row => this.owners.rowChanged(row)),
+            changed: row => this.owners.rowChanged(row),
         });
         this.followers = [
             this.ownersFollower,
@@ -177,9 +162,9 @@
                 table: tables.targets,
                 waitMs: RULES_WAIT_MS,
                 // The assigner takes keys from leaving targets, which should not wait.
-                pauseMs: () => (this.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
-                replaced: rows => this.targetsListed(rows),
-                changed: row => this.entryChanged(row),
+                pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
+                replaced: rows => this.targets.listed(rows),
+                changed: row => this.targets.rowChanged(row),
             }),
             this.follow({
                 table: CRASH_TABLE,
@@ -189,23 +174,16 @@
                 changed: row => this.suspects.rowChanged(row),
             }),
         ];
-        this.lease = new AssignerLease({
-            store: platform.store,
+        this.assigners = new KeyAssigners({
             instance,
-            incarnation: randomUUID(),
             peerAddress: options.peers === undefined ? undefined : `${options.peers.host}:${options.peers.port}`,
+            store: platform.store,
+            calls: platform.calls,
             clock,
             logger: loggers("ownership"),
-            gained: isContinuous => {
-                if (isContinuous) {
-                    this.assigners.forEach(assigner => void assigner.resume());
-                } else {
-                    this.endAssigners();
-                }
-                this.updateAssigners();
-            },
-            // Assigners do nothing without the lease, and go on with what they know when nobody else had it meanwhile.
-            lost: () => undefined,
+            targets: this.targets,
+            load: this.load,
+            maxHoldMs: options.maxHoldMs,
         });
         this.log = new RequestLog({
             clock,
@@ -221,17 +199,20 @@
             clock,
             logger: loggers("dispatch"),
             ownRow: instance,
-            publish: value => void this.publishCrashes(value),
+            publish: value => void reportCrashes(platform.store, instance, value, loggers("dispatch")),
         });
         this.services = {
             clock,
             place: query => this.placement.place(query),
             canPlaceAgain: (query, end) => this.placement.canPlaceAgain(query, end),
-            onOwnerChange: (service, callback) => this.onOwnerChange(service, callback),
+            onOwnerChange: (service, callback) => {
+                this.ownersFollower.hurry();
+                return this.owners.onChange(service, callback);
+            },
             takeRetry: service => this.retriesOf(service).take(),
             targetHeaders: platform.targetHeaders,
             factsOf: platform.factsOf,
-            addressLost: target => this.assigners.get(target.listed.entry.service)?.targetEnded(target.listed),
+            addressLost: target => this.assigners.targetEnded(target.listed),
             brokeWhileRunning: (call, target) => this.suspects.broke(call, target.id),
             refusedConnection: target => this.suspects.targetEnded(target.id),
             ended: (request, outcome) => {
@@ -267,13 +248,13 @@
             follower.start();
             this.disposables.add(follower);
         });
-        this.lease.start();
-        this.disposables.add(this.lease);
-        this.disposables.add(repeat(clock, DECAY_PERIOD_MS, () => this.traffic.forEach(traffic => traffic.decay())));
+        this.assigners.start();
+        this.disposables.add(this.assigners);
         this.disposables.add(repeat(clock, OUTAGE_CHECK_MS, () => this.checkOutage()));
         this.readiness = await startReadinessServer({ ...readiness, isReady: () => this.isReady() });
         const port = await this.server.listen(callers.port, callers.host);
-        await this.exchangeLoad();
+        this.disposables.add(this.load);
+        await this.load.start();
         const metrics = await this.serveMetrics();
         loggers("daemon").info("Started.", { domain, callers: `${callers.host}:${port}`, metrics });
         return { callers: port, readiness: this.readiness.port, metrics };
@@ -287,9 +268,7 @@
         const began = clock.monotonicMs();
         this.isDraining = true;
         loggers("daemon").info("Stopping.", { unfinished: this.server.unfinished() });
-        void this.lease.release(async () => {
-            await Promise.all([...this.assigners.values()].map(assigner => assigner.settled()));
-        });
+        void this.assigners.release();
         const elapsedMs = () => clock.monotonicMs() - began;
         while (elapsedMs() < BALANCER_NOTICE_MS || (this.server.unfinished() > 0 && elapsedMs() < graceMs)) {
             this.server.startDraining();
@@ -300,11 +279,11 @@
     }
 
     dispose(): void {
-        this.endAssigners();
+        this.assigners.dispose();
         void this.disposables.dispose();
         this.server.dispose();
         this.readiness?.dispose();
-        this.targets.forEach(target => target.dispose());
+        this.targets.dispose();
     }
 
     private handle(call: GatewayCall, reply: GatewayReply): () => void {
@@ -323,7 +302,7 @@
         const service = this.split.next(route);
         this.retriesOf(service).request();
         if (call.key !== undefined && lookup.service(service)?.keyed === true) {
-            this.trafficOf(service).record(call.key);
+            this.load.record(service, call.key);
         }
         const request = new GatewayRequest(call, route, service, this.measured(route.name, reply), this.services);
         request.start();
@@ -343,7 +322,7 @@
     }
 
     private beliefs(service: string): ServiceBeliefs {
-        const owners = this.keyMaps.get(service);
+        const owners = this.owners.of(service);
         return {
             config: this.config.current?.config.version,
             fence: owners?.assignment.fence,
@@ -357,8 +336,8 @@
         return {
             configVersion: this.config.current?.config.version ?? 0,
             storeSilentMs: this.storeSilentMs(),
-            isAssigner: this.lease.isHeld(),
-            targets: [...this.targets.values()].map(target => ({
+            isAssigner: this.assigners.lease.isHeld(),
+            targets: [...this.targets.all()].map(target => ({
                 service: target.listed.entry.service,
                 target: target.id,
                 inFlight: target.running,
@@ -367,49 +346,6 @@
         };
     }
 
-    private async exchangeLoad(): Promise<void> {
-        const { peers, clock, loggers } = this.options;
-        if (peers === undefined) {
-            return;
-        }
-        const exchange = new LoadExchange({
-            address: peers,
-            clock,
-            logger: loggers("peers"),
-            assigner: () => parsePeerAddress(this.lease.assignerAddress),
-            collect: () => this.collectLoad(),
-            received: report => this.learnLoad(report),
-        });
-        this.disposables.add(exchange);
-        await exchange.start();
-    }
-
-    /** What this instance saw of services whose keys are assigned, since the last call. */
-    private collectLoad(): LoadReport[] {
-        const targets = [...this.targets.values()];
-        return [...this.traffic].map(([service, traffic]) => ({
-            service,
-            keys: traffic.takeUnreported(),
-            targets: targets
-                .filter(target => target.listed.entry.service === service)
-                .flatMap(target => target.takeReport() ?? []),
-        }));
-    }
-
-    private learnLoad({ service, keys, targets }: LoadReport): void {
-        if (this.config.current?.service(service)?.keyed !== true) {
-            return;
-        }
-        const traffic = this.trafficOf(service);
-        keys.forEach(([key, requests]) => traffic.add(key, requests));
-        for (const report of targets) {
-            const listed = this.directory.get(report.id);
-            if (listed?.entry.service === service && listed.entry.startedAtMs === report.startedAtMs) {
-                this.targetOf(listed).learn(report);
-            }
-        }
-    }
-
     /** Serves the metrics. An address that is taken costs the metrics, not the service. */
     private async serveMetrics(): Promise<number | undefined> {
         const { metrics: address, clock, loggers } = this.options;
@@ -469,100 +405,6 @@
         }
     }
 
-    private targetsListed(rows: StoredRow[]): void {
-        const listed = new Set(rows.map(({ key }) => key));
-        for (const { entry } of [...this.directory.all()]) {
-            if (!listed.has(entry.id)) {
-                this.directory.entryGone(entry.id);
-            }
-        }
-        rows.forEach(row => this.entryChanged(row));
-    }
-
-    private entryChanged(row: StoredRow): void {
-        const entry = row.value === undefined ? undefined : this.options.platform.decodeTarget(row.key, row.value);
-        if (entry !== undefined) {
-            this.directory.put(entry);
-            return;
-        }
-        if (row.value !== undefined) {
-            this.options.loggers("platform").warn("An entry names no usable target.", { entry: row.key });
-        }
-        this.directory.entryGone(row.key);
-    }
-
-    /** Writes what this instance saw of crashes. A lost report costs a crash more, so it isn't repeated. */
-    private async publishCrashes(value: Buffer): Promise<void> {
-        const { platform, instance: key } = this.options;
-        const { store } = platform;
-        const row = await store.row(CRASH_TABLE, key);
-        if (row.isErr()) {
-            this.options.loggers("dispatch").warn("Crashes couldn't be reported.", { cause: row.error.type });
-            return;
-        }
-        const expected = [{ table: CRASH_TABLE, key, version: row.value.row?.version ?? 0 }];
-        const written = await store.transact({ expected, puts: [{ table: CRASH_TABLE, key, value }] });
-        if (written.isErr() || written.value.type !== "committed") {
-            this.options.loggers("dispatch").warn("Crashes may not have been reported.", { row: key });
-        }
-    }
-
-    private assignmentChanged(row: StoredRow): void {
-        if (row.value === undefined) {
-            return;
-        }
-        const assignment = decodeAssignment(row.value);
-        if (assignment === undefined) {
-            this.options.loggers("ownership").error("An assignment can't be read.", { row: row.key });
-            return;
-        }
-        const { service, fence } = assignment;
-        if (fence < (this.keyMaps.get(service)?.assignment.fence ?? 0)) {
-            return;
-        }
-        this.keyMaps.set(service, new KeyMap(assignment, this.options.clock.monotonicMs()));
-        const waits = this.ownerWaits.get(service);
-        this.ownerWaits.delete(service);
-        waits?.forEach(callback => callback());
-    }
-
-    private onOwnerChange(service: string, callback: () => void): () => void {
-        const waits = this.ownerWaits.get(service) ?? new Set();
-        this.ownerWaits.set(service, waits.add(callback));
-        this.ownersFollower.hurry();
-        return () => waits.delete(callback);
-    }
-
-    private targetChanged(listed: DirectoryTarget): void {
-        if (listed.gone) {
-            this.suspects.targetEnded(listed.entry.id);
-            const target = this.targets.get(listed);
-            this.targets.delete(listed);
-            this.observer.targetGone(listed.entry.id);
-            // Requests that it still runs are answered before its connections are closed.
-            this.options.clock.setTimer(this.options.graceMs, () => target?.dispose());
-        }
-    }
-
-    private targetOf(listed: DirectoryTarget): GatewayTarget {
-        const known = this.targets.get(listed);
-        if (known !== undefined) {
-            return known;
-        }
-        const { clock, domain } = this.options;
-        const limit = this.config.current?.service(listed.entry.service)?.connectionLimit ?? 100;
-        const connections = Math.max(4, Math.floor((limit * CONNECTION_SHARE) / ASSUMED_INSTANCES));
-        const target = new GatewayTarget(listed, clock, listed.entry.domain === domain, connections);
-        this.targets.set(listed, target);
-        return target;
-    }
-
-    private trafficOf(service: string): KeyTraffic {
-        const traffic = this.traffic.get(service) ?? new KeyTraffic();
-        this.traffic.set(service, traffic);
-        return traffic;
-    }
-
     private retriesOf(service: string): RetryBudget {
         const known = this.retries.get(service);
         if (known !== undefined) {
@@ -578,41 +420,8 @@
     }
 
     private checkOutage(): void {
-        this.directory.setOutage(
+        this.targets.directory.setOutage(
             this.followers.some(follower => follower.isFailing && follower.silentMs() > OUTAGE_MS),
         );
     }
-
-    private updateAssigners(): void {
-        const lookup = this.config.current;
-        if (!this.lease.isHeld() || lookup === undefined) {
-            return;
-        }
-        const { platform, clock, loggers, maxHoldMs } = this.options;
-        for (const { name, keyed } of lookup.config.services) {
-            if (!keyed || this.assigners.has(name)) {
-                continue;
-            }
-            const assigner = new KeyAssigner({
-                service: name,
-                store: platform.store,
-                calls: platform.calls,
-                clock,
-                logger: loggers("ownership"),
-                lease: this.lease,
-                targets: () => [...this.directory.all()].filter(({ entry }) => entry.service === name),
-                allTargets: () => this.directory.all(),
-                measure: listed => this.targetOf(listed).measure(),
-                weights: () => this.trafficOf(name).weights(),
-                holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
-            });
-            this.assigners.set(name, assigner);
-            void assigner.start();
-        }
-    }
-
-    private endAssigners(): void {
-        this.assigners.forEach(assigner => assigner.dispose());
-        this.assigners.clear();
-    }
 }
--- /dev/null
+++ b/src/process/gateway/keyAssigners.ts
@@ -0,0 +1,117 @@
+import { randomUUID } from "node:crypto";
+import type { RouteConfig } from "../../version/routeConfig.js";
+import type { Logger } from "../observability/logger.js";
+import type { Clock } from "../runtime/clock.js";
+import { AssignerLease } from "./assignerLease.js";
+import type { GatewayTargets } from "./gatewayTargets.js";
+import { DEFAULT_HOLD_MS } from "./grantRecord.js";
+import { KeyAssigner } from "./keyAssigner.js";
+import type { OwnershipCalls } from "./ownershipCalls.js";
+import type { RowStore } from "./rowStore.js";
+import type { SharedLoad } from "./sharedLoad.js";
+import type { DirectoryTarget } from "./targetDirectory.js";
+
+/**
+ * Assigns the keys of all services while this instance holds the lease for that.
+ *
+ * @example
+ * assigners.start();
+ * assigners.update(config.services);
+ */
+export class KeyAssigners {
+    readonly lease: AssignerLease;
+    private readonly assigners = new Map<string, KeyAssigner>();
+    private services: RouteConfig["services"] = [];
+
+    constructor(
+        private readonly options: {
+            instance: string;
+            /** Where this instance takes reports of load, as `HOST:PORT`. */
+            peerAddress: string | undefined;
+            store: RowStore;
+            calls: OwnershipCalls;
+            clock: Clock;
+            logger: Logger;
+            targets: GatewayTargets;
+            load: SharedLoad;
+            /** Longest time for which targets may be granted keys, in milliseconds. */
+            maxHoldMs: number;
+        },
+    ) {
+        const { store, instance, peerAddress, clock, logger } = options;
+        this.lease = new AssignerLease({
+            store,
+            instance,
+            incarnation: randomUUID(),
+            peerAddress,
+            clock,
+            logger,
+            gained: isContinuous => {
+                if (isContinuous) {
+                    this.assigners.forEach(assigner => void assigner.resume());
+                } else {
+                    this.end();
+                }
+                this.update(this.services);
+            },
+        });
+    }
+
+    start(): void {
+        this.lease.start();
+    }
+
+    /** Takes over the services of a config. */
+    update(services: RouteConfig["services"]): void {
+        this.services = services;
+        if (!this.lease.isHeld()) {
+            return;
+        }
+        for (const { name, keyed } of services) {
+            if (keyed && !this.assigners.has(name)) {
+                const assigner = this.createAssigner(name);
+                this.assigners.set(name, assigner);
+                void assigner.start();
+            }
+        }
+    }
+
+    /** Notes that another target has the address of this one. */
+    targetEnded(listed: DirectoryTarget): void {
+        this.assigners.get(listed.entry.service)?.targetEnded(listed);
+    }
+
+    /** Gives the lease up when calls made under it have ended. */
+    async release(): Promise<void> {
+        await this.lease.release(async () => {
+            await Promise.all([...this.assigners.values()].map(assigner => assigner.settled()));
+        });
+    }
+
+    dispose(): void {
+        this.end();
+        this.lease.dispose();
+    }
+
+    private createAssigner(service: string): KeyAssigner {
+        const { store, calls, clock, logger, targets, load, maxHoldMs } = this.options;
+        return new KeyAssigner({
+            service,
+            store,
+            calls,
+            clock,
+            logger,
+            lease: this.lease,
+            targets: () => [...targets.directory.all()].filter(({ entry }) => entry.service === service),
+            allTargets: () => targets.directory.all(),
+            measure: listed => targets.view(listed).measure(),
+            weights: () => load.weights(service),
+            holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
+        });
+    }
+
+    private end(): void {
+        this.assigners.forEach(assigner => assigner.dispose());
+        this.assigners.clear();
+    }
+}
--- /dev/null
+++ b/src/process/gateway/keyOwners.ts
@@ -0,0 +1,49 @@
+import type { Logger } from "../observability/logger.js";
+import type { Clock, TimerCancellation } from "../runtime/clock.js";
+import { decodeAssignment, KeyMap } from "./keyMap.js";
+import type { StoredRow } from "./rowStore.js";
+
+/**
+ * The owners of keys as read from the store, by service. They never go back to earlier ones.
+ *
+ * @example
+ * owners.rowChanged(row);
+ * owners.of("stock")?.rangeOf(4711);
+ */
+export class KeyOwners {
+    private readonly maps = new Map<string, KeyMap>();
+    private readonly waits = new Map<string, Set<() => void>>();
+
+    constructor(private readonly options: { clock: Clock; logger: Logger }) {}
+
+    of(service: string): KeyMap | undefined {
+        return this.maps.get(service);
+    }
+
+    /** Calls back once when owners of the service's keys have changed. */
+    onChange(service: string, callback: () => void): TimerCancellation {
+        const waits = this.waits.get(service) ?? new Set();
+        this.waits.set(service, waits.add(callback));
+        return () => waits.delete(callback);
+    }
+
+    /** Takes over the row of a service's assignment. */
+    rowChanged(row: StoredRow): void {
+        if (row.value === undefined) {
+            return;
+        }
+        const assignment = decodeAssignment(row.value);
+        if (assignment === undefined) {
+            this.options.logger.error("An assignment can't be read.", { row: row.key });
+            return;
+        }
+        const { service, fence } = assignment;
+        if (fence < (this.maps.get(service)?.assignment.fence ?? 0)) {
+            return;
+        }
+        this.maps.set(service, new KeyMap(assignment, this.options.clock.monotonicMs()));
+        const waits = this.waits.get(service);
+        this.waits.delete(service);
+        waits?.forEach(callback => callback());
+    }
+}
--- /dev/null
+++ b/src/process/gateway/sharedLoad.ts
@@ -0,0 +1,96 @@
+import type { Logger } from "../observability/logger.js";
+import { repeat, type Clock } from "../runtime/clock.js";
+import { DisposableStore } from "../runtime/disposableStore.js";
+import type { GatewayTargets } from "./gatewayTargets.js";
+import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
+import { LoadExchange, type PeerAddress } from "./loadExchange.js";
+import type { LoadReport } from "./loadReport.js";
+
+/**
+ * The load of keys and targets: what this instance sees, and on the one that assigns keys also what the others report.
+ *
+ * @example
+ * load.record("stock", 4711);
+ * load.weights("stock");
+ */
+export class SharedLoad {
+    private readonly traffic = new Map<string, KeyTraffic>();
+    private readonly disposables = new DisposableStore();
+
+    constructor(
+        private readonly options: {
+            clock: Clock;
+            logger: Logger;
+            targets: GatewayTargets;
+            isKeyed: (service: string) => boolean;
+            /** Where this instance takes reports; without it, it neither takes nor sends any. */
+            address: PeerAddress | undefined;
+            /** Where another instance takes reports, if one does. */
+            assigner: () => PeerAddress | undefined;
+        },
+    ) {}
+
+    async start(): Promise<void> {
+        const { clock, logger, address, assigner } = this.options;
+        this.disposables.add(repeat(clock, DECAY_PERIOD_MS, () => this.traffic.forEach(traffic => traffic.decay())));
+        if (address === undefined) {
+            return;
+        }
+        const exchange = new LoadExchange({
+            address,
+            clock,
+            logger,
+            assigner,
+            collect: () => this.collect(),
+            received: report => this.learn(report),
+        });
+        this.disposables.add(exchange);
+        await exchange.start();
+    }
+
+    /** Counts a request that this instance got. */
+    record(service: string, key: number): void {
+        this.trafficOf(service).record(key);
+    }
+
+    /** Load of each key of a service. The sum is 1. */
+    weights(service: string): Float64Array {
+        return this.trafficOf(service).weights();
+    }
+
+    dispose(): void {
+        void this.disposables.dispose();
+    }
+
+    /** What this instance saw since the last call. */
+    private collect(): LoadReport[] {
+        const targets = [...this.options.targets.all()];
+        return [...this.traffic].map(([service, traffic]) => ({
+            service,
+            keys: traffic.takeUnreported(),
+            targets: targets
+                .filter(target => target.listed.entry.service === service)
+                .flatMap(target => target.takeReport() ?? []),
+        }));
+    }
+
+    private learn({ service, keys, targets }: LoadReport): void {
+        if (!this.options.isKeyed(service)) {
+            return;
+        }
+        const traffic = this.trafficOf(service);
+        keys.forEach(([key, requests]) => traffic.add(key, requests));
+        for (const report of targets) {
+            const target = this.options.targets.get(report.id, report.startedAtMs);
+            if (target?.listed.entry.service === service) {
+                target.learn(report);
+            }
+        }
+    }
+
+    private trafficOf(service: string): KeyTraffic {
+        const traffic = this.traffic.get(service) ?? new KeyTraffic();
+        this.traffic.set(service, traffic);
+        return traffic;
+    }
+}
