--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,6 @@
 import { Command, InvalidArgumentError } from "commander";
+import { PLAIN_POLICY, PRODUCT_POLICY, replay } from "./replay/replay.js";
+import { readReplayLoad, REPLAY_NAMES } from "./replay/replayLoad.js";
 import { loadScenario, scenarioNames } from "./support/loadScenario.js";
 import { reportOf, type ScenarioReport } from "./support/scenario.js";
 
@@ -62,7 +64,29 @@
     }
 };
 
+const replayCommand = new Command("replay")
+    .description("Replay a load in virtual time with the product's decisions and with the plain ones.")
+    .requiredOption("--load <file or name>", `a JSON file, or one of ${REPLAY_NAMES.join(", ")}`)
+    .option("--seed <number>", "seed of the arrivals", parseSeed, 1)
+    .option("--json", "print the JSON object only", false)
+    .action(({ load, seed, json }: { load: string; seed: number; json: boolean }) => {
+        const read = readReplayLoad(load);
+        if (read.isErr()) {
+            console.error(read.error.detail);
+            process.exitCode = 2;
+            return;
+        }
+        const product = replay(read.value, seed, PRODUCT_POLICY);
+        const plain = replay(read.value, seed, PLAIN_POLICY);
+        if (!json) {
+            console.table({ product, plain });
+        }
+        console.log(JSON.stringify({ load, seed, product, plain }));
+    });
+
 await new Command("bench")
+    .enablePositionalOptions()
+    .addCommand(replayCommand)
     .description("Measures the router against a plain one. The last line of the output is a JSON object.")
     .argument("[scenario]", "name of the scenario")
     .option("--seed <number>", "seed of the drawn load", parseSeed, 1)
--- /dev/null
+++ b/bench/replay/replay.ts
@@ -0,0 +1,148 @@
+import { seededRandom } from "../../test/support/seededRandom.js";
+import { chooseTarget, expectedMs } from "../../src/process/gateway/chooseTarget.js";
+import { decideAdmission, type Admission, type AdmissionInput } from "../../src/process/gateway/decideAdmission.js";
+import { GatewayTarget } from "../../src/process/gateway/gatewayTarget.js";
+import type { DirectoryTarget } from "../../src/process/gateway/targetDirectory.js";
+import { IndexedHeap, type HeapItem } from "../../src/process/runtime/indexedHeap.js";
+import type { Clock } from "../../src/process/runtime/clock.js";
+import type { ReplayLoad } from "./replayLoad.js";
+import { ReplayTarget } from "./replayTarget.js";
+import { summarize, type ReplayedRequest, type ReplaySummary } from "./replaySummary.js";
+
+/** Pause of a caller who was refused without being told when to come back, in milliseconds. */
+const DEFAULT_PAUSE_MS = 200;
+/** Size of answers assumed for the choice among targets, in kilobytes. */
+const ANSWER_KB = 2;
+/** Instances of each domain. */
+const INSTANCES = 2;
+
+/** How requests are placed and admitted. */
+export interface ReplayPolicy {
+    choose: typeof chooseTarget;
+    admit: (input: AdmissionInput) => Admission;
+}
+
+/** The product's decisions. */
+export const PRODUCT_POLICY: ReplayPolicy = { choose: chooseTarget, admit: decideAdmission };
+/** The plain alternative: any target, and whatever it doesn't shed waits. */
+export const PLAIN_POLICY: ReplayPolicy = {
+    choose: (candidates, _answerKb, random) => candidates[Math.floor(random() * candidates.length)],
+    admit: () => ({ type: "admit" }),
+};
+
+interface Event extends HeapItem {
+    at: number;
+    run: () => void;
+}
+
+/**
+ * Replays a load in virtual time: arrivals at random, instances that know only what the product's instances know, targets
+ * that queue and shed, and callers that come back after the pause that they are told. The same seed gives the same
+ * arrivals for every policy.
+ *
+ * @example
+ * replay(load, 7, PRODUCT_POLICY).inTime;
+ */
+export const replay = (load: ReplayLoad, seed: number, policy: ReplayPolicy): ReplaySummary => {
+    const random = seededRandom(seed);
+    const decisions = seededRandom(seed + 1);
+    let now = 0;
+    const clock: Clock = { monotonicMs: () => now, wallMs: () => now, setTimer: () => () => undefined };
+    const events = new IndexedHeap<Event>((a, b) => a.at < b.at);
+    const schedule = (at: number, run: () => void) => events.push({ at, run, heapIndex: -1 });
+
+    const targets = load.targets.map(target => new ReplayTarget(target, schedule, () => now));
+    /** What each instance knows of the targets. */
+    const instances = load.domains.map(domain =>
+        Array.from({ length: INSTANCES }, () =>
+            load.targets.map((target, index) => {
+                const entry = { id: `t${index}`, address: "127.0.0.1:1", slots: target.slots, warmupLeftMs: 0 };
+                return new GatewayTarget({ entry } as DirectoryTarget, clock, target.domain === domain, 1);
+            }),
+        ),
+    );
+    const requests: ReplayedRequest[] = [];
+
+    const attempt = (
+        request: ReplayedRequest,
+        views: GatewayTarget[],
+        key: number,
+        serviceMs: number,
+        tries: number,
+    ) => {
+        const { kind } = request;
+        const elapsedMs = now - request.arrivedMs;
+        const leftMs = kind.deadlineMs - elapsedMs;
+        const refused = (pauseMs: number) => {
+            request.refusals++;
+            const pause = pauseMs * (0.7 + 0.6 * decisions());
+            if (tries < kind.retries && pause < leftMs) {
+                schedule(now + pause, () => attempt(request, views, key, serviceMs, tries + 1));
+            }
+        };
+        const candidates = views.map((view, index) => ({ ...view.candidate(), view, index }));
+        const chosen = load.keyed ? candidates[key] : policy.choose(candidates, ANSWER_KB, decisions);
+        if (chosen === undefined) {
+            refused(DEFAULT_PAUSE_MS);
+            return;
+        }
+        const admission = policy.admit({
+            expectedMs: expectedMs(chosen),
+            serviceMs: chosen.serviceMs,
+            leftMs,
+            elapsedMs,
+            targetLatencyMs: kind.targetLatencyMs,
+        });
+        if (admission.type === "refuse") {
+            refused(admission.pauseMs);
+            return;
+        }
+        const { view } = chosen;
+        const startedAt = now;
+        const loadAtStart = view.load();
+        view.started();
+        targets[chosen.index].take(serviceMs, decisions(), (end, reported) => {
+            view.ended();
+            view.report(reported);
+            switch (end) {
+                case "shed":
+                    view.failed();
+                    refused(DEFAULT_PAUSE_MS);
+                    return;
+                case "failed":
+                    view.failed();
+                    request.hasFailed = true;
+                    return;
+                case "answered":
+                    view.answered(now - startedAt, loadAtStart);
+                    request.tookMs = now - request.arrivedMs;
+                    return;
+            }
+        });
+    };
+
+    load.domains.forEach((domain, domainIndex) =>
+        load.kinds.forEach(kind => {
+            let at = 0;
+            for (;;) {
+                const factor = load.crests.find(({ fromMs, toMs }) => at >= fromMs && at < toMs)?.factor ?? 1;
+                at += (-Math.log(1 - random()) * 1_000) / (kind.perSecond * factor);
+                if (at >= load.durationMs) {
+                    return;
+                }
+                const request: ReplayedRequest = { kind, domain, arrivedMs: at, refusals: 0, hasFailed: false };
+                const views = instances[domainIndex][Math.floor(random() * INSTANCES)];
+                const key = Math.floor(random() * load.targets.length);
+                const serviceMs = kind.meanServiceMs * (0.5 + random());
+                requests.push(request);
+                schedule(at, () => attempt(request, views, key, serviceMs, 0));
+            }
+        }),
+    );
+    for (let next = events.peek(); next !== undefined; next = events.peek()) {
+        events.remove(next);
+        now = next.at;
+        next.run();
+    }
+    return summarize(requests);
+};
--- /dev/null
+++ b/bench/replay/replayLoad.ts
@@ -0,0 +1,133 @@
+import { readFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { parseJson } from "../../src/process/runtime/parseJson.js";
+
+const positive = z.number().positive();
+
+/** A load on one service, to be replayed in virtual time. Times are in milliseconds. */
+export const replayLoadSchema = z
+    .object({
+        durationMs: positive.max(600_000),
+        /** Whether each key has one owner among the targets, so that no other target can run its requests. */
+        keyed: z.boolean().default(false),
+        /** Failure domains; callers of each arrive at an instance of it. */
+        domains: z.array(z.string()).min(1),
+        kinds: z
+            .array(
+                z.object({
+                    name: z.string(),
+                    /** Requests a second from each domain. */
+                    perSecond: positive.max(5_000),
+                    meanServiceMs: positive,
+                    /** Time within which an answer is of full use. */
+                    targetLatencyMs: positive,
+                    /** Time for which the caller waits. */
+                    deadlineMs: positive,
+                    worth: positive.default(1),
+                    lateWorth: z.number().min(0).default(0.3),
+                    /** How often a caller comes back after a refusal. */
+                    retries: z.number().int().min(0).max(10).default(2),
+                }),
+            )
+            .min(1),
+        targets: z
+            .array(
+                z.object({
+                    domain: z.string(),
+                    slots: z.number().int().positive(),
+                    /** Requests that it queues before it sheds. */
+                    queue: z.number().int().min(0).default(12),
+                    /** Factor on the speed. */
+                    speed: positive.default(1),
+                    /** Share of its requests that it fails. */
+                    failShare: z.number().min(0).max(1).default(0),
+                }),
+            )
+            .min(1),
+        /** Times at which more requests arrive than usual. */
+        crests: z.array(z.object({ fromMs: z.number().min(0), toMs: positive, factor: positive })).default([]),
+    })
+    .refine(({ domains, targets }) => targets.every(({ domain }) => domains.includes(domain)), {
+        message: "Each target must be in one of the domains.",
+        path: ["targets"],
+    });
+export type ReplayLoad = z.infer<typeof replayLoadSchema>;
+
+const lookup = { name: "lookup", meanServiceMs: 100, targetLatencyMs: 400, deadlineMs: 1_500, lateWorth: 0.3 };
+const order = { ...lookup, name: "order", meanServiceMs: 140, targetLatencyMs: 550, deadlineMs: 2_500, worth: 2 };
+const DOMAINS = ["a", "b", "c"];
+
+const evenTargets = (count: number, change: (index: number) => object = () => ({})): unknown[] =>
+    Array.from({ length: count }, (_, index) => ({ domain: DOMAINS[index % 3], slots: 6, ...change(index) }));
+
+const NAMED: Record<string, unknown> = {
+    /** A crest above the capacity that lasts longer than the targets' queues. */
+    crest: {
+        durationMs: 12_000,
+        domains: DOMAINS,
+        kinds: [
+            { ...lookup, perSecond: 60 },
+            { ...order, perSecond: 25 },
+        ],
+        targets: evenTargets(6),
+        crests: [{ fromMs: 3_000, toMs: 7_000, factor: 2 }],
+    },
+    /** The same for keys with one owner each: a busy owner can't be relieved by another target. */
+    "keyed-crest": {
+        durationMs: 12_000,
+        keyed: true,
+        domains: DOMAINS,
+        kinds: [{ ...lookup, perSecond: 80 }],
+        targets: evenTargets(6),
+        crests: [{ fromMs: 3_000, toMs: 7_000, factor: 2 }],
+    },
+    /** Targets of uneven speed, below the capacity. */
+    "uneven-speeds": {
+        durationMs: 12_000,
+        domains: DOMAINS,
+        kinds: [{ ...lookup, perSecond: 90 }],
+        targets: evenTargets(9, index => ({ speed: [0.4, 1, 1.6][Math.floor(index / 3)] })),
+    },
+    /** A target that answers at once, but fails most of its requests. */
+    "grey-target": {
+        durationMs: 12_000,
+        domains: DOMAINS,
+        kinds: [{ ...lookup, perSecond: 60 }],
+        targets: evenTargets(6, index => (index === 0 ? { failShare: 0.8, speed: 4 } : {})),
+    },
+};
+
+/** Names of the loads that the project brings along. */
+export const REPLAY_NAMES: readonly string[] = Object.keys(NAMED);
+
+/** Why a load can't be replayed. */
+export interface ReplayLoadProblem {
+    type: "bad-load";
+    detail: string;
+}
+
+/**
+ * The load of the project with this name, or that of a JSON file.
+ *
+ * @example
+ * readReplayLoad("crest");
+ * readReplayLoad("monday.json");
+ */
+export const readReplayLoad = (nameOrFile: string): Result<ReplayLoad, ReplayLoadProblem> => {
+    if (nameOrFile in NAMED) {
+        return ok(replayLoadSchema.parse(NAMED[nameOrFile]));
+    }
+    let text: string;
+    try {
+        text = readFileSync(nameOrFile, "utf8");
+    } catch (error) {
+        const cause = error instanceof Error ? error.message : String(error);
+        const detail = `${cause}. Name a JSON file or one of ${REPLAY_NAMES.join(", ")}.`;
+        return err({ type: "bad-load", detail });
+    }
+    const parsed = replayLoadSchema.safeParse(parseJson(text));
+    return parsed.success
+        ? ok(parsed.data)
+        : err({ type: "bad-load", detail: `${nameOrFile}: ${z.prettifyError(parsed.error)}` });
+};
