Take no request in the last part of a shutdown

Cause: while anything ran, a stopping instance took whatever came until its time was over, and connections on which no request had come yet were never closed, so that callers could use them late.

Change: 3 s after the signal, when the balancer has noticed, requests are refused as not run; connections without a first request count as idle after 0.3 s. The test failed before: the unused connection stayed open.

--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -25,6 +25,8 @@
 const STALL_CHECK_MS = 500;
 /** Most open connections of callers; the rest of the descriptors is for targets. */
 export const DEFAULT_CALLER_CONNECTIONS = 3_000;
+/** Time in which the first request of a new connection is awaited before the connection counts as idle, in milliseconds. */
+const FIRST_REQUEST_MS = 300;
 /** Connections that may wait to be accepted, for the moment at which all callers connect again. */
 const BACKLOG = 1_024;
 
@@ -63,8 +65,10 @@
 /** The state of one connection of a caller. */
 interface CallerConnection {
     exchanges: Set<Exchange>;
-    /** Bytes received when the last answer was handed over; `undefined` before the first and while a request runs. */
+    /** Bytes received when the last answer was handed over, 0 before the first; `undefined` while a request runs. */
     idleAtBytes: number | undefined;
+    /** Monotonic time in milliseconds. */
+    openedAt: number;
 }
 
 /** Names that the `Connection` header declares to concern this connection only. */
@@ -155,7 +159,7 @@
         if (known !== undefined) {
             return known;
         }
-        const connection: CallerConnection = { exchanges: new Set(), idleAtBytes: undefined };
+        const connection: CallerConnection = { exchanges: new Set(), idleAtBytes: 0, openedAt: options.monotonicMs() };
         connections.set(socket, connection);
         const callerGone = () => connection.exchanges.forEach(exchange => exchange.cancel());
         // A caller that gives up closes its connection, of which the end of its bytes is the first sign.
@@ -172,7 +176,9 @@
      * knows that it didn't run.
      */
     const closeIfIdle = (socket: Socket, connection: CallerConnection) => {
-        if (connection.exchanges.size === 0 && connection.idleAtBytes === socket.bytesRead) {
+        const isAwaited =
+            connection.idleAtBytes === 0 && options.monotonicMs() - connection.openedAt < FIRST_REQUEST_MS;
+        if (connection.exchanges.size === 0 && connection.idleAtBytes === socket.bytesRead && !isAwaited) {
             socket.destroy();
         }
     };
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -43,8 +43,13 @@
 const OUTAGE_MS = 1_000;
 /** Time between two looks for an outage, in milliseconds; a fraction of the time that makes one. */
 const OUTAGE_CHECK_MS = 250;
-/** Time that a stopping instance goes on taking connections: the balancer needs it to notice. In milliseconds. */
+/**
+ * Time for which a stopping instance goes on taking requests, in milliseconds: the balancer needs it to notice. Later ones
+ * might not be answered before the process ends.
+ */
 const BALANCER_NOTICE_MS = 3_000;
+/** Pause that a stopping instance tells callers, in seconds; other instances can serve them at once. */
+const STOPPING_PAUSE_S = 0.1;
 /** Time between two looks for connections to close while stopping, in milliseconds. */
 const DRAIN_STEP_MS = 100;
 
@@ -97,6 +102,8 @@
     private readonly disposables = new DisposableStore();
     private readiness: ReadinessServer | undefined;
     private isDraining = false;
+    /** Monotonic time from which a stopping instance takes no more requests, in milliseconds. */
+    private takesUntil = Infinity;
 
     constructor(private readonly options: GatewayOptions) {
         const { clock, loggers, platform, instance } = options;
@@ -267,6 +274,7 @@
         const { clock, loggers, graceMs } = this.options;
         const began = clock.monotonicMs();
         this.isDraining = true;
+        this.takesUntil = began + BALANCER_NOTICE_MS;
         loggers("daemon").info("Stopping.", { unfinished: this.server.unfinished() });
         void this.assigners.release();
         const elapsedMs = () => clock.monotonicMs() - began;
@@ -287,6 +295,10 @@
     }
 
     private handle(call: GatewayCall, reply: GatewayReply): () => void {
+        if (this.options.clock.monotonicMs() >= this.takesUntil) {
+            const refusal = refuse("shutting-down", "The instance is stopping.", STOPPING_PAUSE_S);
+            return this.refuseUnrouted(call, reply, refusal);
+        }
         const lookup = this.config.current;
         if (lookup === undefined) {
             return this.refuseUnrouted(call, reply, refuse("no-bundle", "No config is known yet."));
--- a/test/failure/gatewayAnswers.test.ts
+++ b/test/failure/gatewayAnswers.test.ts
@@ -252,6 +252,29 @@
         await stopped;
     });
 
+    it("takes no request late in its shutdown, which the end of the process would cut off", async () => {
+        targets = [await startScriptedTarget(() => undefined)];
+        const route = ["slow", "shop.example", "/slow/", "non_idempotent", 8_000, 400, 1, "stock", 3, null];
+        world = await GatewayWorld.start({ t0: targets[0] }, standInConfig(1, [route]));
+        const { request } = bind(world);
+        const unused = world.connect();
+        await waitFor(() => unused.readyState === "open");
+        await pause(400);
+        const running = request("POST", "/slow/1", { body: "12 trays", deadlineMs: 9_000 });
+        await waitFor(() => arrivals().length === 1);
+        const stopped = world.gateway.shutDown();
+        await waitFor(() => unused.destroyed);
+        await pause(3_200);
+        const late = await request("POST", "/slow/2", { body: "12 trays", deadlineMs: 9_000 });
+        expect(late.status).toBe(503);
+        expect(late.head).toMatch(/connection: close/i);
+        expect(late.head).toMatch(/retry-after: 0\.1/i);
+        expect(arrivals()).toHaveLength(1);
+        arrivals()[0].answer();
+        expect((await running).status).toBe(200);
+        await stopped;
+    });
+
     it("leaves lines from which a failed request's cause is found, and counts it in the metrics", async () => {
         const open = await start(arrival => void arrival.socket.resetAndDestroy());
         expect((await open.request("POST", "/order/1", { id: "lost-1", body: "12 trays" })).status).toBe(502);
