Keep one time for the freshness of a followed table

Whether what is known is fresh stood in a flag and a time; one time says both. Fields that were declared between methods stand with the others.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -90,6 +90,8 @@
     private disposed = false;
     private readonly startedAt: number;
     private balancedAt: number;
+    /** Until when a target may hold keys that an earlier assigner granted, in monotonic milliseconds. */
+    private inheritedUntil = Infinity;
 
     constructor(
         private readonly options: {
@@ -189,9 +191,6 @@
         return true;
     }
 
-    /** Until when a target may hold keys that an earlier assigner granted, in monotonic milliseconds. */
-    private inheritedUntil = Infinity;
-
     private identity(id: string, startedAtMs: number): string {
         return `${id}@${startedAtMs}`;
     }
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -38,8 +38,8 @@
     private failures = 0;
     private lastAnswerAt: number;
     private wake: () => void = () => undefined;
-    private isPausing = false;
-    private pauseEndedAt = -Infinity;
+    /** Monotonic time in milliseconds from which what is known is fresh; `Infinity` during the pause after changes. */
+    private freshFrom = -Infinity;
     private isHurried = false;
     private endPause: () => void = () => undefined;
 
@@ -81,7 +81,7 @@
 
     /** Whether changes are known as soon as the store has them; `false` during the pause after changes. */
     get isFresh(): boolean {
-        return !this.isPausing && this.options.clock.monotonicMs() - this.pauseEndedAt >= READ_MS;
+        return this.options.clock.monotonicMs() >= this.freshFrom;
     }
 
     /** Reads changes soon, because what is known has proved to be out of date. */
@@ -117,7 +117,7 @@
         const pauseMs = this.options.pauseMs();
         const leastMs = Math.min(pauseMs, this.options.leastPauseMs ?? pauseMs);
         this.isHurried = false;
-        this.isPausing = true;
+        this.freshFrom = Infinity;
         await this.pause(leastMs);
         if (!this.isHurried && !this.disposed) {
             const rest = this.pause(pauseMs - leastMs);
@@ -125,8 +125,7 @@
             await rest;
             this.endPause = () => undefined;
         }
-        this.isPausing = false;
-        this.pauseEndedAt = this.options.clock.monotonicMs();
+        this.freshFrom = this.options.clock.monotonicMs() + READ_MS;
     }
 
     private async list(): Promise<"changed" | "failed"> {
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -28,6 +28,8 @@
  * directory.usable("stock"); // [{ entry, usable: true, ... }]
  */
 export class TargetDirectory {
+    /** Entries that went missing around an outage, until they return or the grace has passed. */
+    private readonly missing = new Set<DirectoryTarget>();
     private readonly targets = new Map<string, DirectoryTarget>();
     private readonly byService = new Map<string, Set<DirectoryTarget>>();
     private outageEndedAt = -Infinity;
@@ -102,9 +104,6 @@
         this.remove(id);
     }
 
-    /** Entries that went missing around an outage, until they return or the grace has passed. */
-    private readonly missing = new Set<DirectoryTarget>();
-
     private removeUnlessBack(target: DirectoryTarget): void {
         if (this.missing.delete(target) && this.targets.get(target.entry.id) === target) {
             this.remove(target.entry.id);
