--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
+import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
 import type { GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest, type GatewayServices } from "../../request/gatewayRequest.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
@@ -19,7 +20,7 @@
 import { KeyOwners } from "./keyOwners.js";
 import { parsePeerAddress, type PeerAddress } from "./loadExchange.js";
 import { IDLE_RETRIES_PER_SECOND, MINIMUM_RETRIES, RETRY_SHARE } from "./retryShare.js";
-import { startReadinessServer, type ReadinessServer } from "./readinessServer.js";
+import { startReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceBeliefs } from "./requestLog.js";
 import { reportCrashes } from "./reportCrashes.js";
 import type { StoredRow } from "./rowStore.js";
@@ -100,7 +101,7 @@
     private readonly metrics = new Metrics();
     private readonly observer: GatewayMetrics;
     private readonly disposables = new DisposableStore();
-    private readiness: ReadinessServer | undefined;
+    private readiness: HttpEndpoint | undefined;
     private isDraining = false;
     /** Monotonic time from which a stopping instance takes no more requests, in milliseconds. */
     private takesUntil = Infinity;
@@ -290,7 +291,7 @@
         this.assigners.dispose();
         void this.disposables.dispose();
         this.server.dispose();
-        this.readiness?.dispose();
+        void this.readiness?.dispose();
         this.targets.dispose();
     }
 
