--- a/test/support/gatewayWorld.ts
+++ b/test/support/gatewayWorld.ts
@@ -1,12 +1,5 @@
 import { connect, type Socket } from "node:net";
-import { decodeConfig } from "../../platform/decodeConfig.js";
-import { decodeTarget } from "../../platform/decodeTarget.js";
-import {
-    decodeAnswerFacts,
-    decodeCallFields,
-    encodeTargetHeaders,
-    isReservedHeader,
-} from "../../platform/messageHeaders.js";
+import { CODECS } from "../../platform/codecs.js";
 import { createOwnershipCalls } from "../../platform/ownershipHttp.js";
 import { systemClock } from "../../src/process/runtime/clock.js";
 import { Gateway } from "../../src/process/gateway/gateway.js";
@@ -101,17 +94,7 @@
                 format: "json",
                 output: { write: line => void log.push(line) },
             }),
-            platform: {
-                store,
-                calls: createOwnershipCalls(),
-                tables: { config: "op", configKey: "config", targets: "servers" },
-                decodeConfig,
-                decodeTarget,
-                fieldsOf: decodeCallFields,
-                isReserved: isReservedHeader,
-                targetHeaders: encodeTargetHeaders,
-                factsOf: decodeAnswerFacts,
-            },
+            platform: { store, calls: createOwnershipCalls(), ...CODECS },
         });
         const ports = await gateway.start();
         await waitFor(() => gateway.isReady());
