Answer problems and bad bytes with one piece of code

The servers of the router and of the gateway each wrote problem details to responses and sockets, and each held back the refusal of bad bytes until whole requests before them were answered.

--- a/src/connection/callerServer.ts
+++ b/src/connection/callerServer.ts
@@ -1,10 +1,11 @@
-import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as SocketServer, type Socket } from "node:net";
 import { H3, toNodeHandler } from "h3";
 import type { Outcome } from "../request/outcome.js";
 import { OUTCOME_HEADER } from "../request/outcome.js";
-import { problemOfRefusal, refuse, type Refusal } from "../request/refusal.js";
+import { outcomeOfRefusal, refuse, type Refusal } from "../request/refusal.js";
 import type { Header } from "./peerProtocol.js";
+import { endWithProblem, onBadBytes, writeProblem } from "./problemAnswer.js";
 
 /** Time in which the headers of a request must arrive, counted from its first byte, in milliseconds. */
 export const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
@@ -42,18 +43,7 @@
 
 const NO_ANSWER: AnsweredRequest = { cancel: () => undefined, credit: () => undefined };
 
-const writeProblem = (response: ServerResponse, refusal: Refusal): void => {
-    const problem = problemOfRefusal(refusal);
-    const body = JSON.stringify(problem.body);
-    response.statusCode = problem.status;
-    response.setHeader("content-type", "application/problem+json");
-    response.setHeader("content-length", Buffer.byteLength(body));
-    response.setHeader(OUTCOME_HEADER, problem.outcome);
-    if (problem.retryAfterSeconds !== undefined) {
-        response.setHeader("retry-after", problem.retryAfterSeconds);
-    }
-    response.end(body);
-};
+const outcomeHeader = (refusal: Refusal): Record<string, string> => ({ [OUTCOME_HEADER]: outcomeOfRefusal(refusal) });
 
 /** The refusal of bytes that the HTTP parser doesn't take as a request. */
 const refusalOfClientError = (error: NodeJS.ErrnoException, headerLimit: number): Refusal => {
@@ -69,17 +59,6 @@
     }
 };
 
-/** Answers on a socket of which the parser has given up, and closes it. */
-const endWithProblem = (socket: Socket, refusal: Refusal): void => {
-    const problem = problemOfRefusal(refusal);
-    const body = JSON.stringify(problem.body);
-    socket.end(
-        `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status]}\r\n` +
-            `content-type: application/problem+json\r\n${OUTCOME_HEADER}: ${problem.outcome}\r\n` +
-            `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-    );
-};
-
 /** Reads the whole body, or tells why it can't be used. `undefined` when the caller has gone. */
 const readBody = async (request: IncomingMessage, limit: number): Promise<Buffer | Refusal | undefined> => {
     const announced = Number(request.headers["content-length"] ?? 0);
@@ -145,7 +124,7 @@
         },
         refused: refusal => {
             closeAfterwards();
-            writeProblem(response, refusal);
+            writeProblem(response, refusal, outcomeHeader(refusal));
         },
     };
     const creditRest = () => {
@@ -265,31 +244,15 @@
         },
     );
     server.maxConnections = options.connectionLimit;
-    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-        if (!socket.writable || error.code === "ECONNRESET") {
-            socket.destroy();
-            return;
-        }
-        const refusal = refusalOfClientError(error, options.headerLimit);
-        const end = () => {
+    onBadBytes(
+        server,
+        socket => open.get(socket) ?? [],
+        (socket, error) => {
+            const refusal = refusalOfClientError(error, options.headerLimit);
             options.refusedEarly(refusal);
-            endWithProblem(socket, refusal);
-        };
-        const responses = [...(open.get(socket) ?? [])].filter(({ req }) => req.complete);
-        if (responses.length === 0) {
-            end();
-            return;
-        }
-        // Whole requests came before the bad bytes. The refusal must not be taken for the answer to one of them.
-        socket.pause();
-        responses.forEach(response =>
-            response.once("close", () => {
-                if (responses.every(({ closed }) => closed) && socket.writable) {
-                    end();
-                }
-            }),
-        );
-    });
+            endWithProblem(socket, refusal, outcomeHeader(refusal));
+        },
+    );
     server.on("connection", socket => socket.once("close", () => idleSince.delete(socket)));
     return Object.assign(server, {
         // The library's own `close` and `closeIdleConnections` also destroy connections whose answers have been ended
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -1,4 +1,4 @@
-import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as SocketServer, type AddressInfo, type Socket } from "node:net";
 import {
     isFramed,
@@ -7,8 +7,9 @@
     type GatewayCall,
     type GatewayReply,
 } from "../request/gatewayCall.js";
-import { problemOfRefusal, refuse, type Refusal } from "../request/refusal.js";
+import { refuse, type Refusal } from "../request/refusal.js";
 import type { ClientLimits } from "../version/routeConfig.js";
+import { endWithProblem, onBadBytes, writeProblem } from "./problemAnswer.js";
 
 /** Limits that hold until a config is known. */
 export const DEFAULT_CLIENT_LIMITS: ClientLimits = {
@@ -99,15 +100,6 @@
 const headerBytes = (request: IncomingMessage): number =>
     request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0);
 
-const endWithProblem = (socket: Socket, refusal: Refusal): void => {
-    const problem = problemOfRefusal(refusal);
-    const body = JSON.stringify(problem.body);
-    socket.end(
-        `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status]}\r\ncontent-type: application/problem+json\r\n` +
-            `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-    );
-};
-
 const refusalOfClientError = (error: NodeJS.ErrnoException): Refusal => {
     switch (error.code) {
         case "HPE_HEADER_OVERFLOW":
@@ -223,16 +215,8 @@
                 response.end(body.length === 1 ? body[0] : Buffer.concat(body));
             },
             refuse: refusal => {
-                const problem = problemOfRefusal(refusal);
-                const body = JSON.stringify(problem.body);
-                response.statusCode = problem.status;
-                response.setHeader("content-type", "application/problem+json");
-                response.setHeader("content-length", Buffer.byteLength(body));
-                if (problem.retryAfterSeconds !== undefined) {
-                    response.setHeader("retry-after", Number(problem.retryAfterSeconds.toFixed(2)));
-                }
                 closeWhenDraining();
-                response.end(body);
+                writeProblem(response, refusal);
             },
             stream: (head, onDrain): AnswerStream => {
                 writeHead(head, undefined);
@@ -341,26 +325,11 @@
     );
     server.maxConnections = options.connectionLimit ?? DEFAULT_CALLER_CONNECTIONS;
     server.on("connection", (socket: Socket) => void connectionOf(socket));
-    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-        const exchanges = [...(connections.get(socket)?.exchanges ?? [])];
-        if (!socket.writable || error.code === "ECONNRESET") {
-            socket.destroy();
-            return;
-        }
-        const whole = exchanges.filter(({ response }) => response.req.complete);
-        if (whole.length === 0) {
-            endWithProblem(socket, refusalOfClientError(error));
-            return;
-        }
-        // Whole requests came before the bad bytes. The refusal must not be taken for the answer to one of them.
-        socket.pause();
-        const endWhenAnswered = () => {
-            if (whole.every(({ response }) => response.closed) && socket.writable) {
-                endWithProblem(socket, refusalOfClientError(error));
-            }
-        };
-        whole.forEach(({ response }) => response.once("close", endWhenAnswered));
-    });
+    onBadBytes(
+        server,
+        socket => [...(connections.get(socket)?.exchanges ?? [])].map(({ response }) => response),
+        (socket, error) => endWithProblem(socket, refusalOfClientError(error)),
+    );
 
     return {
         listen: (port, host) =>
