--- a/src/process/daemonMetrics.ts
+++ b/src/process/daemonMetrics.ts
@@ -1,7 +1,8 @@
 import { peerTraffic } from "../connection/peerProtocol.js";
-import { outcomeOfRefusal, type Refusal } from "../request/refusal.js";
+import type { Refusal } from "../request/refusal.js";
 import type { DaemonChange } from "./audit/auditedChange.js";
 import type { AuditTrail } from "./audit/auditTrail.js";
+import { countRefusal } from "./observability/countRefusal.js";
 import type { ControlCost } from "./observability/controlCost.js";
 import type { Daemon } from "./daemon.js";
 import type { CounterCell, Metrics, SummaryCell } from "./observability/metrics.js";
@@ -45,9 +46,7 @@
             cells.answered.add();
             cells.peak.answeredInTime(arrivedAtMs);
         } else {
-            const outcome = outcomeOfRefusal(refusal);
-            this.metrics.counter("requests_total", { service, outcome }).add();
-            this.metrics.counter("refusals_total", { service, reason: refusal.type }).add();
+            countRefusal(this.metrics, service, refusal);
         }
         cells.requestTime.record(elapsedMs * 1_000);
     }
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 import type { GatewayRequest, RequestOutcome } from "../../request/gatewayRequest.js";
-import { outcomeOfRefusal, type Refusal } from "../../request/refusal.js";
+import type { Refusal } from "../../request/refusal.js";
+import { countRefusal } from "../observability/countRefusal.js";
 import type { Clock } from "../runtime/clock.js";
 import type { CounterCell, Metrics, SummaryCell } from "../observability/metrics.js";
 
@@ -63,8 +64,7 @@
 
     /** Counts a refusal; `service` is left out when no route was found. */
     refused(refusal: Refusal, service = NO_SERVICE): void {
-        this.metrics.counter("requests_total", { service, outcome: outcomeOfRefusal(refusal) }).add();
-        this.metrics.counter("refusals_total", { service, reason: refusal.type }).add();
+        countRefusal(this.metrics, service, refusal);
     }
 
     /** Removes the series of a target that is gone. */
