--- /dev/null
+++ b/test/failure/gatewayRepeats.test.ts
@@ -0,0 +1,84 @@
+import { GatewayHarness, standInConfig } from "../support/gatewayHarness.js";
+import { startScriptedTarget, type ScriptedTarget, type TargetArrival } from "../support/scriptedTarget.js";
+import { waitFor } from "../support/waitFor.js";
+
+/** Time allowed for requests of the test route, in milliseconds; half of it passes before a silent target is replaced. */
+const TIMEOUT_MS = 600;
+/** Number of requests that fill the retry budget of the instance. */
+const FILLING_REQUESTS = 80;
+
+const ROUTES = [["twice", "shop.example", "/twice/", "idempotent", TIMEOUT_MS, 400, 2, "stock", 2, null]];
+
+/** Blocks the event loop of the process, as a machine without processor time does. */
+const stall = (ms: number): void => {
+    const until = performance.now() + ms;
+    while (performance.now() < until) {
+        // Busy waiting is intended.
+    }
+};
+
+describe("repeats of a request at targets", () => {
+    let harness: GatewayHarness;
+    let targets: ScriptedTarget[];
+
+    /** Starts a gateway with three targets and a filled retry budget. Afterwards, targets treat requests by `script`. */
+    const start = async (script: (arrival: TargetArrival) => void): Promise<void> => {
+        targets = await Promise.all([1, 2, 3].map(() => startScriptedTarget(arrival => arrival.answer())));
+        harness = await GatewayHarness.start(
+            Object.fromEntries(targets.map((target, index) => [`t${index}`, target])),
+            standInConfig(1, ROUTES),
+        );
+        for (let count = 0; count < FILLING_REQUESTS; count++) {
+            await harness.request("GET", "/twice/filling");
+        }
+        targets.forEach(target => {
+            target.arrivals.length = 0;
+            target.script = script;
+        });
+    };
+    const arrivals = (): TargetArrival[] => targets.flatMap(target => target.arrivals);
+
+    afterEach(async () => {
+        harness.dispose();
+        await Promise.all(targets.map(target => target.dispose()));
+    });
+
+    it("sends the request of a silent target to one other target, not to two at once", async () => {
+        await start(arrival => {
+            if (arrivals().length > 1) {
+                arrival.answer();
+            }
+        });
+        const got = await harness.request("GET", "/twice/silent");
+        expect(got.status).toBe(200);
+        expect(arrivals().length).toBe(2);
+    });
+
+    it("delivers an answer that arrived during a stall instead of repeating its request", async () => {
+        await start(arrival => {
+            arrival.answer();
+            stall(TIMEOUT_MS * 0.75);
+        });
+        const got = await harness.request("GET", "/twice/stalled");
+        expect(got.status).toBe(200);
+        expect(arrivals().length).toBe(1);
+    });
+
+    it("delivers an answer that arrived during a stall beyond the deadline", async () => {
+        await start(arrival => {
+            arrival.answer();
+            stall(TIMEOUT_MS * 1.5);
+        });
+        const got = await harness.request("GET", "/twice/stalled");
+        expect(got.status).toBe(200);
+        expect(arrivals().length).toBe(1);
+    });
+
+    it("sends nothing after the deadline when the process stalls until then", async () => {
+        await start(() => stall(TIMEOUT_MS * 1.5));
+        const got = await harness.request("GET", "/twice/stalled");
+        expect(got.status).toBe(504);
+        await waitFor(() => targets.some(target => target.arrivals.length > 0));
+        expect(arrivals().length).toBe(1);
+    });
+});
