Count retries as their limit counts them, by service and cause

An operator couldn't tell which requests had been sent to further targets, why, and what the retry budgets had granted for them: retries_total had no cause, was counted when a request ended, and was lost with a killed process.

Gateways now count each send beyond the first by the end of the attempt before, and each decision of the budget, and write both to the log once a second with the requests. `sassafrasloom retries` shows the window with the most retries over the logs of all instances and their restarts. retries_total has the label `cause`; the sum over it is what it was. The dispatchers' retries all follow a lost or late answer.

--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -1,11 +1,9 @@
 import type { Command } from "commander";
 import { processOutput, type CommandOutput } from "./commandOutput.js";
 import { EXIT_CODES } from "./exitCodes.js";
-import { explainRequest, readLogLines, type LogLine } from "./explainRequest.js";
-import { readInput, reportProblems } from "./readInput.js";
-
-/** Path of the standard input. */
-const STANDARD_INPUT = "/dev/stdin";
+import { explainRequest, type LogLine } from "./explainRequest.js";
+import { reportProblems } from "./readInput.js";
+import { readLogs } from "./readLogs.js";
 
 const formatLine = ({ time, level, instance, message, ...fields }: LogLine): string => {
     const details = Object.entries(fields)
@@ -27,19 +25,15 @@
         )
         .action((id: string, files: string[], options: { json?: boolean }) => {
             const isJson = options.json === true;
-            const lines: LogLine[] = [];
-            for (const file of files.length === 0 ? [STANDARD_INPUT] : files) {
-                const content = readInput(file);
-                if (content.isErr()) {
-                    reportProblems(content.error, isJson, output);
-                    return;
-                }
-                lines.push(...readLogLines(content.value.toString("utf8")));
+            const lines = readLogs(files);
+            if (lines.isErr()) {
+                reportProblems(lines.error, isJson, output);
+                return;
             }
-            const found = explainRequest(lines, id);
+            const found = explainRequest(lines.value, id);
             if (found.length === 0) {
                 output.writeError(
-                    `None of ${lines.length} log lines has the request identifier ${id}. Give the logs of all instances; under ` +
+                    `None of ${lines.value.length} log lines has the request identifier ${id}. Give the logs of all instances; under ` +
                         "load, lines about successes are dropped first (field `dropped`).",
                 );
                 output.exitCode(EXIT_CODES["not-found"]);
--- a/src/commands/localCommands.ts
+++ b/src/commands/localCommands.ts
@@ -8,6 +8,7 @@
 import { addExplain } from "./explain.js";
 import { addKeygen } from "./keygen.js";
 import type { CommandExtension } from "./program.js";
+import { addRetries } from "./retries.js";
 
 const outputOf = (environment: CommandEnvironment): CommandOutput => ({
     write: text => environment.writeOut(`${text}\n`),
@@ -26,4 +27,5 @@
     ({ program }, environment) =>
         addConfigCheck(program.command("config").description("check the settings of daemons"), outputOf(environment)),
     ({ program }, environment) => addExplain(program, outputOf(environment)),
+    ({ program }, environment) => addRetries(program, outputOf(environment)),
 ];
--- a/src/process/daemonMetrics.ts
+++ b/src/process/daemonMetrics.ts
@@ -104,7 +104,7 @@
             const peak = this.cellsOf(service).peak.ratioAtPeak(daemon.now());
             this.metrics.gauge("peak_within_deadline_ratio", { service }).set(peak);
             // Created even while they are 0, so that their first increase is visible.
-            const retries = this.metrics.counter("retries_total", { service });
+            const retries = this.metrics.counter("retries_total", { service, cause: "lost" });
             const silent = this.metrics.counter("silent_connections_total", { service });
             for (const { service: dispatched, counters } of daemon.dispatchers.all()) {
                 if (dispatched.name === service) {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { IDLE_RETRIES_PER_SECOND, MIN_RETRIES, RETRY_SHARE } from "./retryShare.js";
 import { startReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceState } from "./requestLog.js";
+import { RetryMeter } from "./retryMeter.js";
 import { reportCrashes } from "./reportCrashes.js";
 import type { StoredRow } from "./rowStore.js";
 import { SharedLoad } from "./sharedLoad.js";
@@ -100,6 +101,7 @@
     private readonly services: GatewayServices;
     private readonly suspects: CrashSuspects;
     private readonly log: RequestLog;
+    private readonly retryMeter: RetryMeter;
     private readonly metrics = new Metrics();
     private readonly observer: GatewayMetrics;
     private readonly disposables = new DisposableStore();
@@ -200,6 +202,7 @@
             logger: loggers("callers"),
             serviceState: service => this.serviceState(service),
         });
+        this.retryMeter = new RetryMeter({ clock, logger: loggers("callers"), metrics: this.metrics });
         this.observer = new GatewayMetrics(this.metrics, {
             clock,
             domain: options.domain,
@@ -219,7 +222,12 @@
                 this.ownersFollower.refresh();
                 return this.owners.onChange(service, callback);
             },
-            takeRetry: service => this.retriesOf(service).take(),
+            takeRetry: service => {
+                const isGranted = this.retriesOf(service).take();
+                this.retryMeter.budgeted(service, isGranted);
+                return isGranted;
+            },
+            retried: (service, cause) => this.retryMeter.retried(service, cause),
             targetHeaders: platform.targetHeaders,
             factsOf: platform.factsOf,
             addressLost: target => this.assigners.targetEnded(target.listed),
@@ -261,6 +269,7 @@
         this.assigners.start();
         this.disposables.add(this.assigners);
         this.disposables.add(repeat(clock, OUTAGE_CHECK_MS, () => this.checkOutage()));
+        this.disposables.add(this.retryMeter.start());
         this.readiness = await startReadinessServer({ ...readiness, isReady: () => this.isReady() });
         const port = await this.server.listen(callers.port, callers.host);
         this.disposables.add(this.load);
@@ -317,6 +326,7 @@
         }
         const service = this.split.next(route);
         this.retriesOf(service).request();
+        this.retryMeter.request(service);
         if (call.key !== undefined && lookup.service(service)?.keyed === true) {
             this.load.record(service, call.key);
         }
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -25,7 +25,6 @@
     answered: CounterCell;
     callerGone: CounterCell;
     requestTime: SummaryCell;
-    retries: CounterCell;
 }
 
 /**
@@ -58,7 +57,6 @@
                 cells.callerGone.add();
                 break;
         }
-        cells.retries.add(Math.max(0, request.sends - 1));
         cells.requestTime.record((this.options.clock.monotonicMs() - request.call.arrivedAt) * 1_000);
     }
 
@@ -96,7 +94,6 @@
             answered: this.metrics.counter("requests_total", { service, outcome: "answered" }),
             callerGone: this.metrics.counter("requests_total", { service, outcome: "caller-gone" }),
             requestTime: this.metrics.summary("request_seconds", { service }),
-            retries: this.metrics.counter("retries_total", { service }),
         };
         this.cells.set(service, cells);
         return cells;
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -70,7 +70,16 @@
     },
     move_seconds: { type: "summary", help: "Duration of planned moves.", labels: ["service"] },
     retry_budget_tokens: { type: "gauge", help: "Retries that the budget allows at present.", labels: ["service"] },
-    retries_total: { type: "counter", help: "Requests sent again.", labels: ["service"] },
+    retries_total: {
+        type: "counter",
+        help: "Requests sent to a target again, by the end of the attempt before: `silent`, `lost`, `failed` or `not-run`.",
+        labels: ["service", "cause"],
+    },
+    retry_budget_decisions_total: {
+        type: "counter",
+        help: "Retries that the budget granted or refused (`result`). A granted retry may still find no target.",
+        labels: ["service", "result"],
+    },
     silent_connections_total: {
         type: "counter",
         help: "Connections to targets that carried nothing any more although the target answered on a fresh one.",
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -14,6 +14,7 @@
     type GatewayReply,
 } from "./gatewayCall.js";
 import { refuse, type Refusal } from "./refusal.js";
+import type { RetryCause } from "./retryCause.js";
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
@@ -61,7 +62,10 @@
     onOwnerChange(service: string, callback: () => void): TimerCancellation;
     /** Whether a target is available for another attempt after one that ended like this. */
     canPlaceAgain(query: PlacementQuery, end: AttemptEnd | "silent"): boolean;
+    /** Takes a retry from the budget of the service; `false` if there is none. */
     takeRetry(service: string): boolean;
+    /** Called when a request is being sent to a further target. */
+    retried(service: string, cause: RetryCause): void;
     /** Headers for a target: those of the caller and those required by the target's protocol. */
     targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
     factsOf(status: number, headers: Header[]): AnswerFacts;
@@ -130,6 +134,8 @@
     private attempt: Attempt | undefined;
     private cancelOwnerWait: TimerCancellation = () => undefined;
     private ownerWaitEndsAt: number | undefined;
+    /** Why the last attempt that was sent has not answered the request. */
+    private retryCause: RetryCause = "lost";
     /** Last refusal by a target or by placement, used if the request ends without an answer. */
     private lastRefusal = refuse("deadline-passed", "No target could run it in time.");
 
@@ -256,6 +262,9 @@
                 sent: () => {
                     attempt.wasSent = true;
                     this.sends++;
+                    if (this.sends > 1) {
+                        this.services.retried(this.service, this.retryCause);
+                    }
                     this.tried.add(target);
                 },
                 head: (status, headers) => {
@@ -346,6 +355,7 @@
                 if (canRepeat) {
                     attempt.target.unansweredCall(attempt.startedAt);
                     this.mayHaveRun = true;
+                    this.retryCause = "silent";
                     attempt.record.next = "send-again";
                     this.abortAttempt(attempt, "the target sent no answer");
                     this.place();
@@ -460,6 +470,9 @@
             takeRetry: () => this.services.takeRetry(this.service),
         });
         attempt.record.next = step;
+        if (end !== "not-sent") {
+            this.retryCause = end;
+        }
         switch (step) {
             case "send-again":
                 this.place();
--- a/test/failure/gatewayRepeats.test.ts
+++ b/test/failure/gatewayRepeats.test.ts
@@ -1,3 +1,5 @@
+import { countRetries } from "../../src/commands/countRetries.js";
+import { readLogLines } from "../../src/commands/explainRequest.js";
 import { GatewayHarness, standInConfig } from "../support/gatewayHarness.js";
 import { startScriptedTarget, type ScriptedTarget, type TargetArrival } from "../support/scriptedTarget.js";
 import { waitFor } from "../support/waitFor.js";
@@ -54,6 +56,21 @@
         expect(arrivals().length).toBe(2);
     });
 
+    it("counts a request at a further target by cause, in the metrics and in the log", async () => {
+        await start(arrival =>
+            arrival.answer(arrivals().length > 1 ? {} : { status: 503, headers: ["X-Not-Executed: 1"] }),
+        );
+        await harness.request("GET", "/twice/shed");
+        const metrics = await (await fetch(`http://127.0.0.1:${harness.metricsPort}/metrics`)).text();
+        expect(metrics).toContain('sassafrasloom_retries_total{service="stock",cause="not-run"} 1\n');
+        expect(metrics).toContain('sassafrasloom_retry_budget_decisions_total{service="stock",result="granted"} 1\n');
+        await waitFor(() => harness.log.some(line => line.includes("Requests and retries, period")));
+        await waitFor(() => countRetries(readLogLines(harness.log.join("\n")), 10_000)[0]?.retries === 1);
+        expect(countRetries(readLogLines(harness.log.join("\n")), 10_000)).toEqual([
+            expect.objectContaining({ service: "stock", causes: { "not-run": 1 }, granted: 1, refused: 0 }),
+        ]);
+    });
+
     it("delivers an answer that arrived during a stall instead of repeating its request", async () => {
         await start(arrival => {
             arrival.answer();
