Send the request of a silent target to one further target, not to two

Cause: when a target sent no answer in time, the request aborted the attempt and then placed itself again. The abort reports the attempt's failure before it returns, while the attempt was still the current one, so the request was also placed by that report. Both took a retry: with two in the budget the request went to two targets at once, with one it was refused as if its answer were lost.

An attempt now ends before its connection is closed, so that late reports of it change nothing, and a new attempt starts in one place, which allows it only if none is under way, and attempts and time are left. A silent attempt is decided by the same function and limits as every other end, also the time left, which it ignored: a process that had stalled sent requests after their deadline. It is given up only when another target takes the request; otherwise its answer is waited for.

--- a/src/process/gateway/retryMeter.ts
+++ b/src/process/gateway/retryMeter.ts
@@ -1,4 +1,4 @@
-import type { RetryCause } from "../../request/retryCause.js";
+import type { RetryCause } from "../../request/decideAfterAttempt.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import { repeat, type Clock, type TimerCancellation } from "../runtime/clock.js";
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -57,7 +57,7 @@
     }
 
     /** Whether there is a target for another attempt. An overloaded key owner can't be replaced by another target. */
-    canPlaceAgain(query: PlacementQuery, end: AttemptEnd | "silent"): boolean {
+    canPlaceAgain(query: PlacementQuery, end: AttemptEnd): boolean {
         if (!this.isKeyed(query.service)) {
             return this.view.targets(query.service).some(target => !query.tried.has(target));
         }
--- a/src/request/__tests__/decideAfterAttempt.test.ts
+++ b/src/request/__tests__/decideAfterAttempt.test.ts
@@ -32,6 +32,15 @@
         expect(decideAfterAttempt({ ...base, end: "not-sent", sends: 0, takeRetry })).toBe("send-again");
     });
 
+    it("repeats a request without an answer by the same limits, and otherwise waits for the answer", () => {
+        const silent = { ...base, repeatability: "idempotent" as const, end: "silent" as const };
+        expect(decideAfterAttempt(silent)).toBe("send-again");
+        expect(decideAfterAttempt({ ...silent, sends: 3 })).toBe("wait");
+        expect(decideAfterAttempt({ ...silent, leftMs: -1 })).toBe("wait");
+        expect(decideAfterAttempt({ ...silent, takeRetry: () => false })).toBe("wait");
+        expect(decideAfterAttempt({ ...silent, repeatability: "nonIdempotent" })).toBe("wait");
+    });
+
     it("repeats an idempotent request, and forwards the target's error when it can't", () => {
         const idempotent = { ...base, repeatability: "idempotent" as const };
         expect(decideAfterAttempt({ ...idempotent, end: "lost" })).toBe("send-again");
--- a/src/request/decideAfterAttempt.ts
+++ b/src/request/decideAfterAttempt.ts
@@ -9,7 +9,12 @@
     /** The request was sent, and its answer was lost or is not valid. */
     | "lost"
     /** The target ran the request and answered with an error. */
-    | "failed";
+    | "failed"
+    /** The request was sent, and no answer has arrived in the time that an answer usually takes; it may still arrive. */
+    | "silent";
+
+/** End of an attempt because of which a request was sent to a further target. */
+export type RetryCause = Exclude<AttemptEnd, "not-sent">;
 
 /** Next step of a request. */
 export type NextStep =
@@ -19,7 +24,9 @@
     /** Report that it may have run. */
     | "report-lost"
     /** Forward the target's error. */
-    | "deliver";
+    | "deliver"
+    /** Go on waiting for the answer. */
+    | "wait";
 
 /** Minimum time left, in milliseconds, that justifies the load of another attempt. */
 const MIN_ATTEMPT_MS = 60;
@@ -47,14 +54,17 @@
     takeRetry: () => boolean;
 }): NextStep => {
     const { end, repeatability, sends, maxAttempts, leftMs, hasTarget, takeRetry } = input;
-    const mayHaveRun = input.mayHaveRun || end === "lost" || end === "failed";
+    const mayHaveRun = input.mayHaveRun || end === "lost" || end === "failed" || end === "silent";
     const mayRepeat = !mayHaveRun || repeatability === "idempotent";
     const fits = leftMs >= MIN_ATTEMPT_MS && sends < maxAttempts && hasTarget;
     if (mayRepeat && fits && (end === "not-sent" || takeRetry())) {
         return "send-again";
     }
-    if (end === "failed") {
-        return "deliver";
+    switch (end) {
+        case "failed":
+            return "deliver";
+        case "silent":
+            return "wait";
     }
     return mayHaveRun ? "report-lost" : "refuse";
 };
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -4,7 +4,7 @@
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
-import { decideAfterAttempt, type AttemptEnd, type NextStep } from "./decideAfterAttempt.js";
+import { decideAfterAttempt, type AttemptEnd, type NextStep, type RetryCause } from "./decideAfterAttempt.js";
 import {
     isFramed,
     type AnswerFacts,
@@ -14,7 +14,6 @@
     type GatewayReply,
 } from "./gatewayCall.js";
 import { refuse, type Refusal } from "./refusal.js";
-import type { RetryCause } from "./retryCause.js";
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
@@ -61,7 +60,7 @@
     /** Calls `callback` once when owners of the service's keys have changed. */
     onOwnerChange(service: string, callback: () => void): TimerCancellation;
     /** Whether a target is available for another attempt after one that ended like this. */
-    canPlaceAgain(query: PlacementQuery, end: AttemptEnd | "silent"): boolean;
+    canPlaceAgain(query: PlacementQuery, end: AttemptEnd): boolean;
     /** Takes a retry from the budget of the service; `false` if there is none. */
     takeRetry(service: string): boolean;
     /** Called when a request is being sent to a further target. */
@@ -131,6 +130,7 @@
     private readonly dispose: TimerCancellation[] = [];
     private mayHaveRun = false;
     private isDone = false;
+    /** The attempt that is under way. There is never more than one. */
     private attempt: Attempt | undefined;
     private cancelOwnerWait: TimerCancellation = () => undefined;
     private ownerWaitEndsAt: number | undefined;
@@ -176,12 +176,21 @@
         const mustRunToEnd = attempt?.wasSent === true && this.route.repeatability === "nonIdempotent";
         this.finish({ type: "caller-gone" });
         if (!mustRunToEnd) {
-            this.abortAttempt(attempt, "the caller has gone");
+            this.abortAttempt("the caller has gone");
         }
     }
 
+    /** Starts an attempt if none is under way and the limits of the request allow another one. */
     private place(): void {
-        if (this.isDone) {
+        if (this.isDone || this.attempt !== undefined) {
+            return;
+        }
+        if (this.leftMs() <= 0) {
+            this.expire();
+            return;
+        }
+        if (this.sends >= this.route.maxAttempts) {
+            this.finishUnanswered();
             return;
         }
         const { services } = this;
@@ -233,7 +242,7 @@
         const { call, route } = this;
         const startedAt = clock.monotonicMs();
         const loadAtStart = target.load();
-        const record = { target: target.id, startedMs: startedAt - call.arrivedAt, load: loadAtStart };
+        const record: AttemptRecord = { target: target.id, startedMs: startedAt - call.arrivedAt, load: loadAtStart };
         this.attempts.push(record);
         const attempt: Attempt = {
             record,
@@ -305,6 +314,7 @@
                     this.completed(attempt, head as AnswerHead, facts as AnswerFacts, chunks);
                 },
                 failed: failure => {
+                    // An attempt that the request has aborted itself has ended before.
                     if (!this.endAttempt(attempt)) {
                         return;
                     }
@@ -343,25 +353,24 @@
     /** Sends an idempotent request to another target if its target doesn't answer; the answer may have been lost. */
     private watchSilence(attempt: Attempt): void {
         const waitMs = this.leftMs() * SILENCE_SHARE;
-        this.dispose.push(
-            this.services.clock.setTimer(waitMs, () => {
-                if (this.isDone || attempt.hasEnded || this.attempt !== attempt || !attempt.wasSent) {
-                    return;
-                }
-                const canRepeat =
-                    this.sends < this.route.maxAttempts &&
-                    this.services.canPlaceAgain(this.query(), "silent") &&
-                    this.services.takeRetry(this.service);
-                if (canRepeat) {
-                    attempt.target.unansweredCall(attempt.startedAt);
-                    this.mayHaveRun = true;
-                    this.retryCause = "silent";
-                    attempt.record.next = "send-again";
-                    this.abortAttempt(attempt, "the target sent no answer");
-                    this.place();
-                }
-            }),
-        );
+        this.dispose.push(this.services.clock.setTimer(waitMs, () => this.checkSilence(attempt)));
+    }
+
+    private checkSilence(attempt: Attempt): void {
+        if (this.isDone || attempt.hasEnded || !attempt.wasSent) {
+            return;
+        }
+        const query = this.query();
+        const placement = this.services.canPlaceAgain(query, "silent") ? this.services.place(query) : undefined;
+        const step = this.decide("silent", placement?.type === "target");
+        if (step !== "send-again" || placement?.type !== "target") {
+            return;
+        }
+        attempt.record.next = step;
+        attempt.record.end = "no answer in time";
+        attempt.target.unansweredCall(attempt.startedAt);
+        this.abortAttempt("the target sent no answer");
+        this.send(placement.target);
     }
 
     /** Marks an attempt as ended. Returns `false` if it has already ended. */
@@ -370,6 +379,9 @@
             return false;
         }
         attempt.hasEnded = true;
+        if (this.attempt === attempt) {
+            this.attempt = undefined;
+        }
         attempt.record.durationMs = this.services.clock.monotonicMs() - attempt.startedAt;
         attempt.target.ended();
         return true;
@@ -431,8 +443,7 @@
     private attemptFailed(attempt: Attempt, failure: TargetFailure): void {
         const { target } = attempt;
         attempt.record.end = `${failure.type}: ${failure.detail}`;
-        const isOwnAbort = failure.type === "aborted" && this.isDone;
-        if (!isOwnAbort && failure.type !== "connection-limit") {
+        if (failure.type !== "connection-limit") {
             target.unansweredCall(attempt.startedAt);
         }
         if (!attempt.wasSent) {
@@ -456,23 +467,11 @@
         if (end === "lost" || end === "failed") {
             this.mayHaveRun = true;
         }
-        if (this.isDone || this.attempt !== attempt) {
+        if (this.isDone) {
             return;
         }
-        const step = decideAfterAttempt({
-            end,
-            repeatability: this.route.repeatability,
-            mayHaveRun: this.mayHaveRun,
-            sends: this.sends,
-            maxAttempts: this.route.maxAttempts,
-            leftMs: this.leftMs(),
-            hasTarget: this.services.canPlaceAgain(this.query(), end),
-            takeRetry: () => this.services.takeRetry(this.service),
-        });
+        const step = this.decide(end, this.services.canPlaceAgain(this.query(), end));
         attempt.record.next = step;
-        if (end !== "not-sent") {
-            this.retryCause = end;
-        }
         switch (step) {
             case "send-again":
                 this.place();
@@ -482,11 +481,31 @@
                 return;
             case "report-lost":
             case "refuse":
+            case "wait":
                 this.finishUnanswered();
                 return;
         }
     }
 
+    /** Decides the next step after the end of an attempt, and takes a retry from the budget if it is needed. */
+    private decide(end: AttemptEnd, hasTarget: boolean): NextStep {
+        const step = decideAfterAttempt({
+            end,
+            repeatability: this.route.repeatability,
+            mayHaveRun: this.mayHaveRun,
+            sends: this.sends,
+            maxAttempts: this.route.maxAttempts,
+            leftMs: this.leftMs(),
+            hasTarget,
+            takeRetry: () => this.services.takeRetry(this.service),
+        });
+        if (step === "send-again" && end !== "not-sent") {
+            this.retryCause = end;
+            this.mayHaveRun ||= end === "silent";
+        }
+        return step;
+    }
+
     /** Delay in seconds before the caller may retry, with jitter so that callers don't retry simultaneously. */
     private pauseSeconds(): number {
         const { targetLatencyMs } = this.route;
@@ -500,9 +519,8 @@
             return;
         }
         const { attempt } = this;
-        const isRunning = attempt !== undefined && !attempt.hasEnded && attempt.wasSent;
-        this.mayHaveRun ||= isRunning;
-        if (isRunning) {
+        if (attempt?.wasSent === true) {
+            this.mayHaveRun = true;
             attempt.target.unansweredCall(attempt.startedAt);
         }
         this.finishRefused(
@@ -510,7 +528,7 @@
                 ? refuse("answer-lost", `No answer came within ${Math.round(this.allowedMs)} ms.`)
                 : refuse("deadline-passed", this.lastRefusal.detail),
         );
-        this.abortAttempt(attempt, "its deadline has passed");
+        this.abortAttempt("its deadline has passed");
     }
 
     /** Ends the request without a target's answer; the refusal depends on whether it may have run. */
@@ -532,8 +550,14 @@
         this.services.ended(this, outcome);
     }
 
-    private abortAttempt(attempt: Attempt | undefined, reason: string): void {
-        if (attempt !== undefined && !attempt.hasEnded) {
+    /**
+     * Ends the attempt that is under way and closes its connection. The attempt ends first, because the connection reports
+     * its failure before `abort` returns, and that report must not decide about the request again.
+     */
+    private abortAttempt(reason: string): void {
+        const { attempt } = this;
+        if (attempt !== undefined && this.endAttempt(attempt)) {
+            attempt.record.end ??= `aborted: ${reason}`;
             attempt.sent?.abort(reason);
         }
     }
