Read answers that have arrived before a request times out

Cause: Node.js runs overdue timers before it reads from sockets. The timers for silence and for the deadline concluded from the missing answer what was a missing read.

--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -1,5 +1,6 @@
 import type { SentRequest, TargetFailure } from "../connection/targetConnections.js";
 import type { Header } from "../connection/peerProtocol.js";
+import { afterInput } from "../process/runtime/afterInput.js";
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Route } from "../version/routeConfig.js";
@@ -160,7 +161,7 @@
             this.finishRefused(refuse("deadline-passed", "Its time had passed when it arrived."));
             return;
         }
-        this.dispose.push(this.services.clock.setTimer(this.leftMs(), () => this.expire()));
+        this.onTimeout(this.leftMs(), () => this.expire());
         this.place();
     }
 
@@ -352,8 +353,13 @@
 
     /** Sends an idempotent request to another target if its target doesn't answer; the answer may have been lost. */
     private watchSilence(attempt: Attempt): void {
-        const waitMs = this.leftMs() * SILENCE_SHARE;
-        this.dispose.push(this.services.clock.setTimer(waitMs, () => this.checkSilence(attempt)));
+        this.onTimeout(this.leftMs() * SILENCE_SHARE, () => this.checkSilence(attempt));
+    }
+
+    /** Calls `callback` after a time without an answer, unless an answer is found to have arrived in that time. */
+    private onTimeout(delayMs: number, callback: () => void): void {
+        const cancelTimer = this.services.clock.setTimer(delayMs, () => this.dispose.push(afterInput(callback)));
+        this.dispose.push(cancelTimer);
     }
 
     private checkSilence(attempt: Attempt): void {
