Bound the retries of all instances by their requests, not by their number

Operators saw more repeats in a window than the platform allows (BUDGET) possible the more instances there are: each process started with a retry per service and earned 0.1 a second without requests, so 67 instances that restart under little traffic spent up to 262 retries beyond the ratio where 174 are allowed, and 576 up to 1,929. Saved retries followed an average that outlives the window of the limit.

A request now earns half of the platform's ratio, and an unused retry expires after half a window: the retries of any window are earned by the requests of one and a half windows, half as many as the limit allows for the larger of two, whatever the number of instances, their kills, restarts and replacements. Retries earned before a suspension are dropped, and half a window is left for requests read late and retries sent late. Each budget starts at a random fraction of a retry, so instances with few requests get their share. Ratio and window come from the platform's settings.

--- a/src/process/gateway/__tests__/retryShare.test.ts
+++ b/src/process/gateway/__tests__/retryShare.test.ts
@@ -1,7 +1,6 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
-import { MIN_RETRIES, IDLE_RETRIES_PER_SECOND, RETRY_SHARE } from "../retryShare.js";
-import { RetryBudget } from "../../dispatch/retryBudget.js";
+import { createRetryBudget } from "../createRetryBudget.js";
 
 /** Retries that targets tolerate from all instances together: the platform's limits for its smallest deployments. */
 const ALLOWED_SHARE = 0.2;
@@ -17,15 +16,8 @@
 const replay = (seed: number): { requests: number[]; retries: number[] } => {
     const random = seededRandom(seed);
     const clock = new ManualClock();
-    const budgets = Array.from(
-        { length: INSTANCES },
-        () =>
-            new RetryBudget(clock, {
-                share: RETRY_SHARE,
-                minimum: MIN_RETRIES,
-                idlePerSecond: IDLE_RETRIES_PER_SECOND,
-            }),
-    );
+    const limit = { ratio: ALLOWED_SHARE, windowMs: WINDOW_MS };
+    const budgets = Array.from({ length: INSTANCES }, () => createRetryBudget(clock, limit, random));
     const requests: number[] = [];
     const retries: number[] = [];
     let isBusy = false;
--- a/src/process/gateway/__tests__/retryWindow.test.ts
+++ b/src/process/gateway/__tests__/retryWindow.test.ts
@@ -1,8 +1,7 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
-import { RetryBudget } from "../../dispatch/retryBudget.js";
-import type { Clock } from "../../runtime/clock.js";
-import { IDLE_RETRIES_PER_SECOND, MIN_RETRIES, RETRY_SHARE } from "../retryShare.js";
+import type { RetryBudget } from "../../dispatch/retryBudget.js";
+import { createRetryBudget } from "../createRetryBudget.js";
 
 /** The platform's limit: repeats in a window, as a ratio of the requests and a fixed number. */
 const RATIO = 0.2;
@@ -10,9 +9,6 @@
 const STEP_MS = 100;
 const DURATION_MS = 60_000;
 
-const createBudget = (clock: Clock): RetryBudget =>
-    new RetryBudget(clock, { share: RETRY_SHARE, minimum: MIN_RETRIES, idlePerSecond: IDLE_RETRIES_PER_SECOND });
-
 /** Faults of the instances. Rates are per instance and second. */
 interface Faults {
     killsPerSecond: number;
@@ -45,7 +41,11 @@
 const replay = (seed: number, instances: number, requestsPerSecond: number, faults: Faults): Counts => {
     const random = seededRandom(seed);
     const clock = new ManualClock();
-    const startInstance = (): Instance => ({ budget: createBudget(clock), stalledUntil: 0, unread: 0 });
+    const startInstance = (): Instance => ({
+        budget: createRetryBudget(clock, { ratio: RATIO, windowMs: WINDOW_MS }, random),
+        stalledUntil: 0,
+        unread: 0,
+    });
     const running = Array.from({ length: instances }, startInstance);
     const counts: Counts = { requests: [], repeats: [], starts: [] };
     const perStep = (rate: number) => (rate * STEP_MS) / 1_000;
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -2,6 +2,7 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import { parseJson } from "../runtime/parseJson.js";
+import { SUSPENSION_MS, wallOffsetMs } from "../runtime/wallOffset.js";
 import type { RowStore } from "./rowStore.js";
 
 /** Table of the lease. It has no other rows, so that renewals don't wake the followers of other tables. */
@@ -20,8 +21,6 @@
 const FAILURE_PAUSE_MS = 250;
 /** Relative clock drift allowed for while waiting for another instance's lease to expire. */
 const CLOCK_DRIFT = 0.02;
-/** Change of the wall clock against the monotonic clock that is treated as a suspension of the machine, in milliseconds. */
-const SUSPENSION_MS = 250;
 
 const leaseSchema = z.object({
     instance: z.string(),
@@ -88,12 +87,12 @@
             random?: () => number;
         },
     ) {
-        this.wallOffsetMs = this.offsetMs();
+        this.wallOffsetMs = wallOffsetMs(this.options.clock);
     }
 
     /** Whether this instance holds the lease and may assign and grant keys. */
     isHeld(): boolean {
-        const offsetMs = this.offsetMs();
+        const offsetMs = wallOffsetMs(this.options.clock);
         if (Math.abs(offsetMs - this.wallOffsetMs) > SUSPENSION_MS) {
             this.wallOffsetMs = offsetMs;
             this.heldUntil = -Infinity;
@@ -186,7 +185,7 @@
     private async write(): Promise<number> {
         const { store, clock, instance, incarnation } = this.options;
         const sentAt = clock.monotonicMs();
-        const offsetMs = this.offsetMs();
+        const offsetMs = wallOffsetMs(this.options.clock);
         const writtenMs = this.storeMsAtLatest(sentAt, offsetMs);
         const { peerAddress } = this.options;
         const lease: Lease = { instance, incarnation, renewal: ++this.renewal, writtenMs, peerAddress };
@@ -243,7 +242,7 @@
     /** Records the store's clock from the answer to a call that was sent at `sentAt`. */
     private recordStoreTime(storeMs: number, sentAt: number): void {
         // The store read its clock before the answer arrived, but not before the call was sent.
-        this.storeTime = { storeMs, at: sentAt, offsetMs: this.offsetMs() };
+        this.storeTime = { storeMs, at: sentAt, offsetMs: wallOffsetMs(this.options.clock) };
     }
 
     /** Upper bound of the store's clock now; `undefined` if this process's monotonic clock may have stopped meanwhile. */
@@ -258,7 +257,7 @@
     private hold(sentAt: number, offsetMs: number, expectedVersion: number): void {
         const isContinuous = this.heldVersion !== undefined && this.heldVersion === expectedVersion;
         this.heldVersion = this.rowVersion;
-        if (Math.abs(this.offsetMs() - offsetMs) > SUSPENSION_MS) {
+        if (Math.abs(wallOffsetMs(this.options.clock) - offsetMs) > SUSPENSION_MS) {
             return;
         }
         if (this.disposed) {
@@ -296,8 +295,4 @@
         }
         return parsed.data;
     }
-
-    private offsetMs(): number {
-        return this.options.clock.wallMs() - this.options.clock.monotonicMs();
-    }
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -9,8 +9,9 @@
 import type { Logger, LogPart } from "../observability/logger.js";
 import { Metrics, SUMMARY_WINDOW_MS } from "../observability/metrics.js";
 import { startMetricsServer } from "../observability/metricsServer.js";
-import { RetryBudget } from "../dispatch/retryBudget.js";
+import type { RetryBudget } from "../dispatch/retryBudget.js";
 import { ConfigKeeper } from "./configKeeper.js";
+import { createRetryBudget } from "./createRetryBudget.js";
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
@@ -19,7 +20,7 @@
 import { KeyAssigners } from "./keyAssigners.js";
 import { KeyOwners } from "./keyOwners.js";
 import { parsePeerAddress, type PeerAddress } from "./loadExchange.js";
-import { IDLE_RETRIES_PER_SECOND, MIN_RETRIES, RETRY_SHARE } from "./retryShare.js";
+import type { RetryLimit } from "./retryLimit.js";
 import { startReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceState } from "./requestLog.js";
 import { RetryMeter } from "./retryMeter.js";
@@ -72,6 +73,8 @@
     graceMs: number;
     /** Maximum time for which targets may be granted keys, in milliseconds. */
     maxHoldMs: number;
+    /** Limit on the retries of all instances together. */
+    retryLimit: RetryLimit;
     platform: GatewayPlatform;
     clock: Clock;
     loggers: (part: LogPart) => Logger;
@@ -436,11 +439,7 @@
         if (known !== undefined) {
             return known;
         }
-        const budget = new RetryBudget(this.options.clock, {
-            share: RETRY_SHARE,
-            minimum: MIN_RETRIES,
-            idlePerSecond: IDLE_RETRIES_PER_SECOND,
-        });
+        const budget = createRetryBudget(this.options.clock, this.options.retryLimit);
         this.retries.set(service, budget);
         return budget;
     }
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -87,6 +87,7 @@
             metrics: { host: "127.0.0.1", port: 0 },
             graceMs: 5_000,
             maxHoldMs: 10_000,
+            retryLimit: { ratio: 0.2, windowMs: 10_000 },
             clock: systemClock,
             loggers: createLoggers({
                 instance: "a1",
--- a/tools/__tests__/platformBoundary.test.ts
+++ b/tools/__tests__/platformBoundary.test.ts
@@ -15,6 +15,7 @@
     "src/process/gateway/gateway",
     "src/process/gateway/keyMap",
     "src/process/gateway/ownershipCalls",
+    "src/process/gateway/retryLimit",
     "src/process/gateway/rowStore",
     "src/process/gateway/targetEntry",
     "src/process/observability/logger",
