Bound what is read of an answer without end

A target in trouble may send bytes that are no answer until its connection is closed.

A run that outlives its caller ends a second after its deadline.

--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -10,6 +10,11 @@
 /** Maximum number of connections of one `TargetConnections`. */
 export const DEFAULT_CONNECTION_LIMIT = 128;
 
+/** Maximum size in bytes of what surrounds the content of an answer, apart from `MAX_FRAMING_RATIO`. */
+const MAX_FRAMING_BYTES = 262_144;
+/** Maximum ratio of an answer's bytes to its content. Chunks of a single byte have a ratio of 6. */
+const MAX_FRAMING_RATIO = 8;
+
 /** A request as it is sent to a target. */
 export interface TargetRequest {
     method: string;
@@ -32,7 +37,14 @@
 
 /** Why a request to a target has no complete answer. */
 export interface TargetFailure {
-    type: "refused" | "connect-timeout" | "broken" | "aborted" | "connection-limit";
+    type:
+        | "refused"
+        | "connect-timeout"
+        | "broken"
+        | "aborted"
+        | "connection-limit"
+        /** The head or the framing of the answer was too large. */
+        | "excessive-framing";
     /** Whether the target refused the connection, which means that no process listens. */
     refused: boolean;
     detail: string;
@@ -50,6 +62,8 @@
     client: Client;
     lastSuccessAt: number;
     idle: boolean;
+    /** Size of the content of the current answer that was read, in bytes. */
+    contentBytes: number;
     /** Whether the connection was reset. The HTTP client reports an answer without a length as complete even then. */
     wasReset: boolean;
 }
@@ -63,6 +77,9 @@
     if (code === "UND_ERR_CONNECT_TIMEOUT" || code === "ETIMEDOUT") {
         return { type: "connect-timeout", refused: false, detail };
     }
+    if (code === "EXCESSIVE_READ" || code === "UND_ERR_HEADERS_OVERFLOW") {
+        return { type: "excessive-framing", refused: false, detail };
+    }
     return { type: code === "UND_ERR_ABORTED" ? "aborted" : "broken", refused: false, detail };
 };
 
@@ -110,6 +127,7 @@
             return this.failAtLimit(answer);
         }
         connection.idle = false;
+        connection.contentBytes = 0;
         let controller: Dispatcher.DispatchController | undefined;
         let abortReason: string | undefined;
         let settled = false;
@@ -137,7 +155,10 @@
                     answer.head(status, toHeaderList(headers), typeof boot === "string" ? boot : undefined);
                 }
             },
-            onResponseData: (_controller, chunk) => answer.data(chunk),
+            onResponseData: (_controller, chunk) => {
+                connection.contentBytes += chunk.length;
+                answer.data(chunk);
+            },
             onResponseEnd: () => {
                 if (settled) {
                     return;
@@ -239,8 +260,12 @@
         this.opened++;
         const client = new Client(`http://${this.address}`, {
             pipelining: 1,
-            connect: resettingConnector(this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS, () => {
-                connection.wasReset = true;
+            connect: resettingConnector({
+                timeoutMs: this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+                isExcessive: bytes => bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * connection.contentBytes,
+                onReset: () => {
+                    connection.wasReset = true;
+                },
             }),
             // The dispatcher enforces the deadline of each request, which shorter timeouts of the client would hide.
             headersTimeout: 0,
@@ -248,7 +273,13 @@
             keepAliveTimeout: DEFAULT_IDLE_LIMIT_MS,
             keepAliveMaxTimeout: DEFAULT_IDLE_LIMIT_MS,
         });
-        const connection = { client, lastSuccessAt: this.clock.monotonicMs(), idle: false, wasReset: false };
+        const connection: TargetConnection = {
+            client,
+            lastSuccessAt: this.clock.monotonicMs(),
+            idle: false,
+            contentBytes: 0,
+            wasReset: false,
+        };
         this.connections.add(connection);
         client.on("disconnect", () => {
             if (connection.idle) {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
 import type { GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest, type GatewayServices } from "../../request/gatewayRequest.js";
+import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { WeightedSplit } from "../../version/weightedSplit.js";
 import { repeat, type Clock } from "../runtime/clock.js";
@@ -15,6 +16,7 @@
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
+import type { GatewayTarget } from "./gatewayTarget.js";
 import { GatewayTargets } from "./gatewayTargets.js";
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
 import { KeyAssigners } from "./keyAssigners.js";
@@ -219,6 +221,7 @@
         });
         this.services = {
             clock,
+            heldAnswers: new HeldAnswers(),
             place: query => this.placement.place(query),
             canPlaceAgain: (query, end) => this.placement.canPlaceAgain(query, end),
             onOwnerChange: (service, callback) => {
@@ -234,6 +237,7 @@
             targetHeaders: platform.targetHeaders,
             factsOf: platform.factsOf,
             addressLost: target => this.assigners.targetEnded(target.listed),
+            excessiveAnswer: (request, target, part, detail) => this.excessiveAnswer(request, target, part, detail),
             brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
             refusedConnection: target => this.suspects.targetEnded(target.id),
             ended: (request, outcome) => {
@@ -346,6 +350,23 @@
         return () => undefined;
     }
 
+    private excessiveAnswer(
+        { call, service }: GatewayRequest,
+        target: GatewayTarget,
+        part: string,
+        detail: string,
+    ): void {
+        this.metrics.counter("excessive_answers_total", { service, part }).add();
+        this.options
+            .loggers("dispatch")
+            .warn(`Target ${target.id} sent more than an answer may have; it was broken off.`, {
+                request: call.requestId,
+                service,
+                part,
+                detail,
+            });
+    }
+
     private storeSilentMs(): number {
         return Math.min(...this.followers.map(follower => follower.silentMs()));
     }
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -80,6 +80,11 @@
         help: "Retries that the budget granted or refused (`result`). A granted retry may still find no target.",
         labels: ["service", "result"],
     },
+    excessive_answers_total: {
+        type: "counter",
+        help: "Answers of targets that were broken off because their `content`, or their head and `framing`, was too large.",
+        labels: ["service", "part"],
+    },
     silent_connections_total: {
         type: "counter",
         help: "Connections to targets that carried nothing any more although the target answered on a fresh one.",
--- a/src/process/store/instanceList.ts
+++ b/src/process/store/instanceList.ts
@@ -2,6 +2,7 @@
 import { Pool } from "undici";
 import { z } from "zod";
 import type { PlatformError } from "./platformError.js";
+import { MAX_PLATFORM_RESPONSE_BYTES } from "./platformResponse.js";
 
 /** Timeout of a request for the instance list, in milliseconds. */
 export const DEFAULT_INSTANCE_LIST_TIMEOUT_MS = 1_000;
@@ -31,7 +32,7 @@
     private readonly timeoutMs: number;
 
     constructor(options: { url: string; timeoutMs?: number }) {
-        this.pool = new Pool(options.url, { connections: 1 });
+        this.pool = new Pool(options.url, { connections: 1, maxResponseSize: MAX_PLATFORM_RESPONSE_BYTES });
         this.timeoutMs = options.timeoutMs ?? DEFAULT_INSTANCE_LIST_TIMEOUT_MS;
     }
 
--- a/src/process/store/platformObjects.ts
+++ b/src/process/store/platformObjects.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
 import type { PlatformError } from "./platformError.js";
+import { MAX_PLATFORM_RESPONSE_BYTES } from "./platformResponse.js";
 
 /** Timeout of a request to the object store, in milliseconds. */
 export const DEFAULT_OBJECT_TIMEOUT_MS = 3_000;
@@ -17,7 +18,7 @@
     private readonly timeoutMs: number;
 
     constructor(options: { url: string; timeoutMs?: number }) {
-        this.pool = new Pool(options.url, { connections: 2 });
+        this.pool = new Pool(options.url, { connections: 2, maxResponseSize: MAX_PLATFORM_RESPONSE_BYTES });
         this.timeoutMs = options.timeoutMs ?? DEFAULT_OBJECT_TIMEOUT_MS;
     }
 
--- a/src/process/store/platformTable.ts
+++ b/src/process/store/platformTable.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import type { Clock } from "../runtime/clock.js";
 import type { PlatformError } from "./platformError.js";
+import { MAX_PLATFORM_RESPONSE_BYTES } from "./platformResponse.js";
 import type { VersionedRow } from "./rows.js";
 
 /** Timeout of a request to the table service, in milliseconds. */
@@ -78,7 +79,11 @@
     private lastSuccessAt: number | undefined;
 
     constructor(options: { url: string; clock: Clock; timeoutMs?: number; resolutionLimitMs?: number }) {
-        this.pool = new Pool(options.url, { connections: 8, pipelining: 1 });
+        this.pool = new Pool(options.url, {
+            connections: 8,
+            pipelining: 1,
+            maxResponseSize: MAX_PLATFORM_RESPONSE_BYTES,
+        });
         this.clock = options.clock;
         this.timeoutMs = options.timeoutMs ?? DEFAULT_TABLE_TIMEOUT_MS;
         this.resolutionLimitMs = options.resolutionLimitMs ?? DEFAULT_RESOLUTION_LIMIT_MS;
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -14,12 +14,16 @@
     type GatewayCall,
     type GatewayReply,
 } from "./gatewayCall.js";
+import type { HeldAnswer, HeldAnswers } from "./heldAnswers.js";
 import { refuse, type Refusal } from "./refusal.js";
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
-/** Size in bytes above which an answer is forwarded while it arrives. Smaller ones are checked completely first. */
-const MIN_STREAMED_BYTES = 1_048_576;
+/**
+ * Time after the deadline for which a target may still run a request that can't be repeated and whose caller has gone, in
+ * milliseconds.
+ */
+const RUN_OUT_MS = 1_000;
 /** Maximum idle time of a connection that is used for a request that can't be repeated, in milliseconds. */
 const NON_IDEMPOTENT_MAX_IDLE_MS = 3_000;
 /** Maximum idle time of a connection that is used for a request that can be repeated, in milliseconds. */
@@ -56,6 +60,8 @@
 /** Services of the process that a request depends on. */
 export interface GatewayServices {
     clock: Clock;
+    /** Answers of this process that are held until they are complete. */
+    heldAnswers: HeldAnswers;
     /** Chooses a target for the next attempt. */
     place(query: PlacementQuery): Placement;
     /** Calls `callback` once when owners of the service's keys have changed. */
@@ -73,12 +79,17 @@
     addressLost(target: GatewayTarget): void;
     /** Called when a connection broke while a target may have run the request. */
     brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
+    /** Called when a target's answer was broken off because its content or what surrounds it was too large. */
+    excessiveAnswer(request: GatewayRequest, target: GatewayTarget, part: ExcessivePart, detail: string): void;
     /** Called when no process listens on a target's address. */
     refusedConnection(target: GatewayTarget): void;
     /** Called once when the request has ended. */
     ended(request: GatewayRequest, outcome: RequestOutcome): void;
 }
 
+/** The part of an answer that was too large: its content, or its head and framing. */
+export type ExcessivePart = "content" | "framing";
+
 /** How a request ended. */
 export type RequestOutcome =
     { type: "answered"; status: number } | { type: "refused"; refusal: Refusal } | { type: "caller-gone" };
@@ -107,6 +118,8 @@
     loadAtStart: number;
     wasSent: boolean;
     hasEnded: boolean;
+    /** Content of the answer until it is complete or forwarded. */
+    held: HeldAnswer;
 }
 
 /**
@@ -177,8 +190,11 @@
         }
         const { attempt } = this;
         const mustRunToEnd = attempt?.wasSent === true && this.route.repeatability === "nonIdempotent";
+        const runOutMs = Math.max(0, this.leftMs()) + RUN_OUT_MS;
         this.finish({ type: "caller-gone" });
-        if (!mustRunToEnd) {
+        if (mustRunToEnd) {
+            this.services.clock.setTimer(runOutMs, () => this.abortAttempt("its deadline has passed"));
+        } else {
             this.abortAttempt("the caller has gone");
         }
     }
@@ -255,13 +271,12 @@
             loadAtStart,
             wasSent: false,
             hasEnded: false,
+            held: this.services.heldAnswers.create(),
         };
         this.attempt = attempt;
         target.started();
         let head: AnswerHead | undefined;
         let facts: AnswerFacts | undefined;
-        let chunks: Buffer[] = [];
-        let length = 0;
         attempt.sent = target.connections.send(
             {
                 method: call.method,
@@ -298,15 +313,13 @@
                         }
                         return;
                     }
-                    chunks.push(Buffer.from(chunk));
-                    length += chunk.length;
-                    if (length > MIN_STREAMED_BYTES && this.canStream(attempt, head, facts)) {
-                        this.stream = this.reply.stream(head as AnswerHead, () => attempt.sent?.resume());
-                        chunks.forEach(part => this.stream?.data(part));
-                        chunks = [];
+                    attempt.held.add(chunk);
+                    if (attempt.held.isTooLarge()) {
+                        this.forwardOrAbort(attempt, head, facts);
                     }
                 },
                 end: () => {
+                    const content = attempt.held.take();
                     if (!this.endAttempt(attempt)) {
                         return;
                     }
@@ -318,13 +331,16 @@
                         }
                         return;
                     }
-                    this.completed(attempt, head as AnswerHead, facts as AnswerFacts, chunks);
+                    this.completed(attempt, head as AnswerHead, facts as AnswerFacts, content);
                 },
                 failed: failure => {
                     // An attempt that the request has aborted itself has ended before.
                     if (!this.endAttempt(attempt)) {
                         return;
                     }
+                    if (failure.type === "excessive-framing") {
+                        this.services.excessiveAnswer(this, target, "framing", failure.detail);
+                    }
                     if (this.stream !== undefined) {
                         if (!this.isDone) {
                             this.finishRefused(refuse("answer-broken", "The target broke a long answer off."));
@@ -344,6 +360,19 @@
         }
     }
 
+    /** Forwards an answer that is too large to be held while it arrives, or aborts its attempt. */
+    private forwardOrAbort(attempt: Attempt, head: AnswerHead | undefined, facts: AnswerFacts | undefined): void {
+        if (!this.canStream(attempt, head, facts)) {
+            const detail = "the answer is too large to be held until it is complete";
+            this.services.excessiveAnswer(this, attempt.target, "content", detail);
+            attempt.sent?.abort(detail);
+            return;
+        }
+        const stream = this.reply.stream(head as AnswerHead, () => attempt.sent?.resume());
+        this.stream = stream;
+        attempt.held.take().forEach(chunk => stream.data(chunk));
+    }
+
     /** Whether an answer can be streamed: everything except its completeness must have been checked. */
     private canStream(attempt: Attempt, head: AnswerHead | undefined, facts: AnswerFacts | undefined): boolean {
         return (
@@ -389,6 +418,7 @@
             return false;
         }
         attempt.hasEnded = true;
+        attempt.held.take();
         if (this.attempt === attempt) {
             this.attempt = undefined;
         }
