Count an answer's content from the same write as its bytes

Answers of more than 256 KB were taken for excessive when their connection was used again: the count of their content started anew when the next request was handed to the connection, the count of all bytes when it was written, and a read in between compared the two.

Both counts start anew with the write. gatewayAnswers.test.ts, "reuses a connection after a large answer", failed before (503).

--- a/src/connection/limitReads.ts
+++ b/src/connection/limitReads.ts
@@ -9,16 +9,22 @@
     }
 }
 
+/** Limit on what a connection reads. */
+export interface ReadLimit {
+    /** Whether an answer is excessive, by the number of bytes read since the last write. */
+    isExcessive: (bytes: number) => boolean;
+    /** Called before a write, with which the count of bytes starts anew. */
+    onWrite?: () => void;
+}
+
 /**
  * Closes a connection that reads too much after its last write. An HTTP parser bounds the headers of an answer, but not what
  * can be around them: a status line, informational responses or chunk extensions without end.
  *
- * @param isExcessive decides by the number of bytes read since the last write
- *
  * @example
- * limitReads(socket, bytes => bytes > 1_048_576);
+ * limitReads(socket, { isExcessive: bytes => bytes > 1_048_576 });
  */
-export const limitReads = (socket: Socket, isExcessive: (bytes: number) => boolean): void => {
+export const limitReads = (socket: Socket, { isExcessive, onWrite }: ReadLimit): void => {
     let bytesReadBefore = socket.bytesRead;
     const read = socket.read.bind(socket);
     const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
@@ -32,6 +38,7 @@
     };
     socket.write = (...args: unknown[]) => {
         bytesReadBefore = socket.bytesRead;
+        onWrite?.();
         return write(...args);
     };
 };
--- a/src/connection/resettingConnector.ts
+++ b/src/connection/resettingConnector.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
-import { limitReads } from "./limitReads.js";
+import { limitReads, type ReadLimit } from "./limitReads.js";
 
 /**
  * Makes a socket reset its connection when it is destroyed because of an error. A connection that is merely closed
@@ -27,17 +27,16 @@
  * Opens connections that are reset, not closed, when a call on them is aborted or its answer is excessive.
  *
  * @example
- * const isExcessive = (bytes: number) => bytes > 65_536;
- * const client = new Client("http://10.0.0.5:80", { connect: resettingConnector({ timeoutMs: 500, isExcessive }) });
+ * const readLimit = { isExcessive: (bytes: number) => bytes > 65_536 };
+ * const client = new Client("http://10.0.0.5:80", { connect: resettingConnector({ timeoutMs: 500, readLimit }) });
  */
 export const resettingConnector = (options: {
     timeoutMs: number;
-    /** Whether an answer is excessive, by the number of bytes read since the last write. */
-    isExcessive: (bytes: number) => boolean;
+    readLimit: ReadLimit;
     /** Called when a connection fails, before the HTTP client handles the failure. */
     onReset?: () => void;
 }): buildConnector.connector => {
-    const { timeoutMs, isExcessive, onReset = () => undefined } = options;
+    const { timeoutMs, readLimit, onReset = () => undefined } = options;
     const connect = buildConnector({ timeout: timeoutMs });
     return (options, callback) =>
         connect(options, (...[error, socket]) => {
@@ -47,7 +46,7 @@
             }
             socket.once("error", onReset);
             resetOnDestroy(socket);
-            limitReads(socket, isExcessive);
+            limitReads(socket, readLimit);
             callback(null, socket);
         });
 };
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -62,7 +62,7 @@
     client: Client;
     lastSuccessAt: number;
     idle: boolean;
-    /** Size of the content of the current answer that was read, in bytes. */
+    /** Size of the content that was read since the last write, in bytes. */
     contentBytes: number;
     /** Whether the connection was reset. The HTTP client reports an answer without a length as complete even then. */
     wasReset: boolean;
@@ -127,7 +127,6 @@
             return this.failAtLimit(answer);
         }
         connection.idle = false;
-        connection.contentBytes = 0;
         let controller: Dispatcher.DispatchController | undefined;
         let abortReason: string | undefined;
         let settled = false;
@@ -262,7 +261,12 @@
             pipelining: 1,
             connect: resettingConnector({
                 timeoutMs: this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
-                isExcessive: bytes => bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * connection.contentBytes,
+                readLimit: {
+                    isExcessive: bytes => bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * connection.contentBytes,
+                    onWrite: () => {
+                        connection.contentBytes = 0;
+                    },
+                },
                 onReset: () => {
                     connection.wasReset = true;
                 },
--- a/test/failure/gatewayAnswers.test.ts
+++ b/test/failure/gatewayAnswers.test.ts
@@ -99,6 +99,16 @@
         expect(got.head).toMatch(/connection: close/i);
     });
 
+    it("reuses a connection after a large answer", async () => {
+        const large = "x".repeat(400_000);
+        const gateway = await start(arrival => arrival.answer({ body: large }));
+        for (let round = 0; round < 3; round++) {
+            const got = await gateway.request("POST", "/order/1", { body: "12 trays" });
+            expect([got.status, got.body.length]).toEqual([200, large.length]);
+        }
+        expect(targets[0].connections()).toBe(1);
+    });
+
     it("aborts a long answer that outlasts its deadline, and goes on serving", async () => {
         const long = "x".repeat(2 * 1_048_576);
         const gateway = await start(arrival => {
