--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
 import type { GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
-import { GatewayRequest, type GatewayServices } from "../../request/gatewayRequest.js";
+import { GatewayRequest, type ExcessivePart, type GatewayServices } from "../../request/gatewayRequest.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { WeightedSplit } from "../../version/weightedSplit.js";
@@ -353,7 +353,7 @@
     private excessiveAnswer(
         { call, service }: GatewayRequest,
         target: GatewayTarget,
-        part: string,
+        part: ExcessivePart,
         detail: string,
     ): void {
         this.metrics.counter("excessive_answers_total", { service, part }).add();
