--- a/test/failure/gatewayRepeats.test.ts
+++ b/test/failure/gatewayRepeats.test.ts
@@ -2,6 +2,7 @@
 import { readLogLines } from "../../src/commands/explainRequest.js";
 import { GatewayHarness, standInConfig } from "../support/gatewayHarness.js";
 import { startScriptedTarget, type ScriptedTarget, type TargetArrival } from "../support/scriptedTarget.js";
+import { stall } from "../support/stall.js";
 import { waitFor } from "../support/waitFor.js";
 
 /** Time allowed for requests of the test route, in milliseconds; half of it passes before a silent target is replaced. */
@@ -11,14 +12,6 @@
 
 const ROUTES = [["twice", "shop.example", "/twice/", "idempotent", TIMEOUT_MS, 400, 2, "stock", 2, null]];
 
-/** Blocks the event loop of the process, as a machine without processor time does. */
-const stall = (ms: number): void => {
-    const until = performance.now() + ms;
-    while (performance.now() < until) {
-        // Busy waiting is intended.
-    }
-};
-
 describe("repeats of a request at targets", () => {
     let harness: GatewayHarness;
     let targets: ScriptedTarget[];
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -64,7 +64,7 @@
 export class GatewayHarness {
     private constructor(
         readonly gateway: Gateway,
-        private readonly port: number,
+        readonly port: number,
         readonly readinessPort: number,
         readonly metricsPort: number,
         readonly store: MemoryRowStore,
@@ -102,6 +102,11 @@
         return new GatewayHarness(gateway, ports.callers, ports.readiness, ports.metrics ?? 0, store, log);
     }
 
+    /** Registers a target under an identifier, for a service. */
+    putTarget(id: string, target: ScriptedTarget, service: string): void {
+        this.store.put("servers", id, standInEntry(target, { service }));
+    }
+
     connect(): Socket {
         const socket = connect(this.port, "127.0.0.1");
         socket.on("error", () => undefined);
