Count callers that leave by the state of their request, and late sends

Nothing told why a request was sent for a caller that had left. The gateway now counts callers that leave by what their request was waiting for (`callers_gone_total`), sends to a target over half a second after the caller may have left (`late_sends_total`, by why its end was read late: a stall of the event loop or a connection that wasn't read), and stalls (`stalls_total`, with a log line). The line of such a request has the age.

--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -4,6 +4,7 @@
     isFramed,
     type AnswerHead,
     type AnswerStream,
+    type CallerEnd,
     type GatewayCall,
     type GatewayReply,
 } from "../request/gatewayCall.js";
@@ -53,13 +54,13 @@
 ]);
 
 /** Handles a request; the returned function cancels it when the caller has gone. */
-export type CallHandler = (call: GatewayCall, reply: GatewayReply) => () => void;
+export type CallHandler = (call: GatewayCall, reply: GatewayReply) => (end: CallerEnd) => void;
 
 /** Fields of a call that are decoded from the caller's headers. */
 export type CallFields = Pick<GatewayCall, "requestId" | "deadlineMs" | "key">;
 
 interface Exchange {
-    cancel: () => void;
+    cancel: (end: CallerEnd) => void;
     response: ServerResponse;
 }
 
@@ -70,6 +71,8 @@
     idleAtBytes: number | undefined;
     /** Monotonic time in milliseconds. */
     openedAt: number;
+    /** Monotonic time in milliseconds since which the connection isn't read; `undefined` while it is. */
+    pausedAt: number | undefined;
 }
 
 /** Names that the `Connection` header declares as hop-by-hop headers. */
@@ -129,7 +132,7 @@
  * reach the target unchanged. Pipelined requests on a connection run concurrently and are answered in order.
  *
  * @example
- * const server = createGatewayServer({ handle, fieldsOf, isReserved, monotonicMs: clock.monotonicMs });
+ * const server = createGatewayServer({ handle, fieldsOf, isReserved, monotonicMs: clock.monotonicMs, unreadSince });
  * await server.listen(8641, "10.1.0.15");
  */
 export const createGatewayServer = (options: {
@@ -138,6 +141,8 @@
     /** Whether a header is set by the gateway and must not come from a caller. */
     isReserved: (name: string) => boolean;
     monotonicMs: () => number;
+    /** Monotonic time in milliseconds since which input that is read now may have waited. */
+    unreadSince: () => number;
     connectionLimit?: number;
 }): GatewayServer => {
     let limits = DEFAULT_CLIENT_LIMITS;
@@ -150,9 +155,26 @@
         if (known !== undefined) {
             return known;
         }
-        const connection: CallerConnection = { exchanges: new Set(), idleAtBytes: 0, openedAt: options.monotonicMs() };
+        const connection: CallerConnection = {
+            exchanges: new Set(),
+            idleAtBytes: 0,
+            openedAt: options.monotonicMs(),
+            pausedAt: undefined,
+        };
         connections.set(socket, connection);
-        const cancelExchanges = () => connection.exchanges.forEach(exchange => exchange.cancel());
+        socket.on("pause", () => (connection.pausedAt ??= options.monotonicMs()));
+        socket.on("resume", () => (connection.pausedAt = undefined));
+        const endOf = ({ pausedAt = Infinity }: CallerConnection): CallerEnd => {
+            const since = options.unreadSince();
+            if (pausedAt < since) {
+                return { since: pausedAt, cause: "paused" };
+            }
+            return { since, cause: since < options.monotonicMs() ? "stall" : undefined };
+        };
+        const cancelExchanges = () => {
+            const end = endOf(connection);
+            connection.exchanges.forEach(exchange => exchange.cancel(end));
+        };
         // A caller that aborts closes its connection; the first sign of that is the end of the bytes that it sends.
         socket.once("end", cancelExchanges);
         socket.once("close", () => {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,12 +1,13 @@
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
-import type { GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
+import type { CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest, type ExcessivePart, type GatewayServices } from "../../request/gatewayRequest.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { WeightedSplit } from "../../version/weightedSplit.js";
 import { repeat, type Clock } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
+import { StallWatch } from "../runtime/stallWatch.js";
 import type { Logger, LogPart } from "../observability/logger.js";
 import { Metrics, SUMMARY_WINDOW_MS } from "../observability/metrics.js";
 import { startMetricsServer } from "../observability/metricsServer.js";
@@ -110,6 +111,7 @@
     private readonly metrics = new Metrics();
     private readonly observer: GatewayMetrics;
     private readonly disposables = new DisposableStore();
+    private readonly stalls: StallWatch;
     private readiness: HttpEndpoint | undefined;
     private isDraining = false;
     /** Monotonic time from which a stopping instance accepts no more requests, in milliseconds. */
@@ -248,11 +250,16 @@
                 this.observer.ended(request, outcome);
             },
         };
+        this.stalls = new StallWatch(clock, stallMs => {
+            this.metrics.counter("stalls_total", {}).add();
+            loggers("daemon").warn("The event loop stalled.", { ms: Math.round(stallMs) });
+        });
         this.server = createGatewayServer({
             handle: (call, reply) => this.handle(call, reply),
             fieldsOf: platform.fieldsOf,
             isReserved: platform.isReserved,
             monotonicMs: () => clock.monotonicMs(),
+            unreadSince: () => this.stalls.unreadSince(),
         });
     }
 
@@ -277,6 +284,7 @@
         this.disposables.add(this.assigners);
         this.disposables.add(repeat(clock, OUTAGE_CHECK_MS, () => this.checkOutage()));
         this.disposables.add(this.retryMeter.start());
+        this.disposables.add(this.stalls.start());
         this.readiness = await startReadinessServer({ ...readiness, isReady: () => this.isReady() });
         const port = await this.server.listen(callers.port, callers.host);
         this.disposables.add(this.load);
@@ -314,7 +322,7 @@
         this.targets.dispose();
     }
 
-    private handle(call: GatewayCall, reply: GatewayReply): () => void {
+    private handle(call: GatewayCall, reply: GatewayReply): (end: CallerEnd) => void {
         if (this.options.clock.monotonicMs() >= this.acceptsUntil) {
             const refusal = refuse("shutting-down", "The instance is stopping.", STOPPING_PAUSE_S);
             return this.refuseUnrouted(call, reply, refusal);
@@ -339,7 +347,7 @@
         }
         const request = new GatewayRequest(call, route, service, this.measured(route.name, reply), this.services);
         request.start();
-        return () => request.callerGone();
+        return end => request.callerGone(end);
     }
 
     /** Refuses a request before a service is chosen for it. */
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -18,6 +18,9 @@
 /** Time without an answer from the store after which it counts as down, in milliseconds; above the longest held call. */
 const STORE_DOWN_MS = 14_000;
 
+/** Time after a caller's departure from which on a send to a target counts as late, in milliseconds. */
+export const LATE_SEND_MS = 500;
+
 /** Label for requests without a known route, which have no service. */
 const NO_SERVICE = "";
 
@@ -55,6 +58,7 @@
                 break;
             case "caller-gone":
                 cells.callerGone.add();
+                this.callerGone(request.service, outcome);
                 break;
         }
         cells.requestTime.record((this.options.clock.monotonicMs() - request.call.arrivedAt) * 1_000);
@@ -65,6 +69,14 @@
         countRefusal(this.metrics, service, refusal);
     }
 
+    private callerGone(service: string, outcome: Extract<RequestOutcome, { type: "caller-gone" }>): void {
+        const { state, end, sentLateMs } = outcome;
+        this.metrics.counter("callers_gone_total", { service, state }).add();
+        if (sentLateMs > LATE_SEND_MS) {
+            this.metrics.counter("late_sends_total", { service, cause: end.cause ?? "" }).add();
+        }
+    }
+
     /** Removes the series of a target that is gone. */
     targetGone(target: string): void {
         this.metrics.removeSeries("target", target);
--- a/src/process/gateway/requestLog.ts
+++ b/src/process/gateway/requestLog.ts
@@ -37,10 +37,16 @@
         case "refused":
             return outcome.refusal.type;
         case "caller-gone":
-            return "caller-gone";
+            return `caller-gone, ${outcome.state}`;
     }
 };
 
+/** How late a request was sent whose caller may have left before, and why that was noticed late. */
+const lateSendFields = (outcome: RequestOutcome): LogFields =>
+    outcome.type === "caller-gone" && outcome.sentLateMs > 0
+        ? { sentLateMs: Math.round(outcome.sentLateMs), endReadLate: outcome.end.cause }
+        : {};
+
 /** Failures are the most important; requests with several attempts or late answers explain more than ordinary ones. */
 const importanceOf = (request: GatewayRequest, outcome: RequestOutcome, ms: number): Importance => {
     if (outcome.type === "refused" || (outcome.type === "answered" && outcome.status >= 500)) {
@@ -87,6 +93,7 @@
             attempts: request.attempts.map(attemptText).join("; "),
             sends: request.sends,
             ms: Math.round(ms),
+            ...lateSendFields(outcome),
             timeoutMs: Math.round(request.allowedMs),
             ...this.options.serviceState(service),
         });
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -42,6 +42,17 @@
         help: "Requests by the outcome that the caller was told; `caller-gone` when it left before.",
         labels: ["service", "outcome"],
     },
+    callers_gone_total: {
+        type: "counter",
+        help: "Callers of a gateway that left before their answer, by what their request was waiting for (`state`).",
+        labels: ["service", "state"],
+    },
+    late_sends_total: {
+        type: "counter",
+        help: "Requests sent to a target although their caller may have left over half a second before, by why that was read late: `stall` or `paused`.",
+        labels: ["service", "cause"],
+    },
+    stalls_total: { type: "counter", help: "Times that the event loop of a gateway stalled.", labels: [] },
     request_seconds: {
         type: "summary",
         help: "Time from the arrival of a request to the end of its answer.",
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -19,6 +19,17 @@
     arrivedAt: number;
 }
 
+/** When a caller may have left whose departure is noticed now. */
+export interface CallerEnd {
+    /** Earliest monotonic time in milliseconds. */
+    since: number;
+    /** Why it may not have been noticed at once. */
+    cause: LateEndCause | undefined;
+}
+
+/** Why the end of a caller's connection was read late: the event loop stalled, or the connection wasn't read. */
+export type LateEndCause = "stall" | "paused";
+
 /** Protocol information in a target's answer, apart from its content. */
 export interface AnswerFacts {
     /** Identifier of the answered request, if the target returns it. */
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -11,6 +11,7 @@
     type AnswerFacts,
     type AnswerHead,
     type AnswerStream,
+    type CallerEnd,
     type GatewayCall,
     type GatewayReply,
 } from "./gatewayCall.js";
@@ -90,9 +91,20 @@
 /** The part of an answer that was too large: its content, or its head and framing. */
 export type ExcessivePart = "content" | "framing";
 
+/** What a request was waiting for when its caller left. */
+export type RequestState = "owner-wait" | "placement" | "connecting" | "at-target" | "forwarding";
+
 /** How a request ended. */
 export type RequestOutcome =
-    { type: "answered"; status: number } | { type: "refused"; refusal: Refusal } | { type: "caller-gone" };
+    | { type: "answered"; status: number }
+    | { type: "refused"; refusal: Refusal }
+    | {
+          type: "caller-gone";
+          state: RequestState;
+          end: CallerEnd;
+          /** Time by which the caller may have left before its request was sent, in milliseconds; 0 if it hadn't. */
+          sentLateMs: number;
+      };
 
 /** One attempt as it is logged. */
 export interface AttemptRecord {
@@ -115,6 +127,8 @@
     target: GatewayTarget;
     sent: SentRequest | undefined;
     startedAt: number;
+    /** Monotonic time in milliseconds; `undefined` until it is sent. */
+    sentAt: number | undefined;
     loadAtStart: number;
     wasSent: boolean;
     hasEnded: boolean;
@@ -128,7 +142,7 @@
  * @example
  * const request = new GatewayRequest(call, route, "stock", reply, services);
  * request.start();
- * request.callerGone();
+ * request.callerGone({ since: clock.monotonicMs(), cause: undefined });
  */
 export class GatewayRequest {
     /** Number of times that the request was sent to a target. */
@@ -150,6 +164,7 @@
     private stream: AnswerStream | undefined;
     private cancelOwnerWait: TimerCancellation = () => undefined;
     private ownerWaitEndsAt: number | undefined;
+    private isWaitingForOwner = false;
     /** Why the last attempt that was sent has not answered the request. */
     private retryCause: RetryCause = "lost";
     /** Last refusal by a target or by placement, used if the request ends without an answer. */
@@ -184,14 +199,15 @@
      * Ends the request of a caller that has gone. A request that can't be repeated runs to its end at the target: if it
      * were aborted, it would be unknown whether it took effect.
      */
-    callerGone(): void {
+    callerGone(end: CallerEnd): void {
         if (this.isDone) {
             return;
         }
         const { attempt } = this;
+        const sentLateMs = Math.max(0, (attempt?.sentAt ?? end.since) - end.since);
         const mustRunToEnd = attempt?.wasSent === true && this.route.repeatability === "nonIdempotent";
         const runOutMs = Math.max(0, this.leftMs()) + RUN_OUT_MS;
-        this.finish({ type: "caller-gone" });
+        this.finish({ type: "caller-gone", state: this.state(), end, sentLateMs });
         if (mustRunToEnd) {
             this.services.clock.setTimer(runOutMs, () => this.abortAttempt("its deadline has passed"));
         } else {
@@ -199,6 +215,16 @@
         }
     }
 
+    private state(): RequestState {
+        if (this.stream !== undefined) {
+            return "forwarding";
+        }
+        if (this.attempt !== undefined) {
+            return this.attempt.wasSent ? "at-target" : "connecting";
+        }
+        return this.isWaitingForOwner ? "owner-wait" : "placement";
+    }
+
     /** Starts an attempt if none is under way and the limits of the request allow another one. */
     private place(): void {
         if (this.isDone || this.attempt !== undefined) {
@@ -244,6 +270,7 @@
         const waitMs = Math.min(maxWaitMs, this.ownerWaitEndsAt - now);
         const cancelTimer = this.services.clock.setTimer(waitMs, () => this.endOwnerWait());
         const cancelCallback = this.services.onOwnerChange(this.service, () => this.endOwnerWait());
+        this.isWaitingForOwner = true;
         this.cancelOwnerWait = () => {
             cancelTimer();
             cancelCallback();
@@ -253,6 +280,7 @@
     private endOwnerWait(): void {
         this.cancelOwnerWait();
         this.cancelOwnerWait = () => undefined;
+        this.isWaitingForOwner = false;
         this.place();
     }
 
@@ -268,6 +296,7 @@
             target,
             sent: undefined,
             startedAt,
+            sentAt: undefined,
             loadAtStart,
             wasSent: false,
             hasEnded: false,
@@ -287,6 +316,7 @@
             {
                 sent: () => {
                     attempt.wasSent = true;
+                    attempt.sentAt = clock.monotonicMs();
                     this.sends++;
                     if (this.sends > 1) {
                         this.services.retried(this.service, this.retryCause);
--- a/test/failure/leavingCallers.test.ts
+++ b/test/failure/leavingCallers.test.ts
@@ -14,6 +14,8 @@
 const LEAVE_MS = 60;
 /** Time after which no request of a caller that has left may reach a target, and no target may still work for it. */
 const GRACE_MS = 500;
+/** Number of requests that fill the retry budget of a service. */
+const FILLING_REQUESTS = 60;
 /** Number of callers that act at the same time; there are as many idle connections to the target. */
 const CALLERS = 8;
 
@@ -60,6 +62,18 @@
             target.script = script;
         });
     };
+    /** Fills the retry budget, so that requests may be sent to further targets. */
+    const fillBudget = async (path: string): Promise<void> => {
+        const scripts = targets.map(({ script }) => script);
+        targets.forEach(target => (target.script = arrival => arrival.answer()));
+        for (let count = 0; count < FILLING_REQUESTS; count++) {
+            await harness.request("GET", path);
+        }
+        targets.forEach((target, index) => {
+            target.script = scripts[index];
+            target.arrivals.length = 0;
+        });
+    };
     const arrivals = (): TargetArrival[] => targets.flatMap(target => target.arrivals);
     const paths = (): string[] => arrivals().map(({ url }) => url);
 
@@ -144,6 +158,7 @@
             arrival.answer({ status: 503, headers: ["X-Not-Executed: 1"] });
             stall(STALL_MS);
         });
+        await fillBudget("/read/filling");
         await callers.run([
             { type: "connect", connection: 0 },
             { type: "send", connection: 0, bytes: requestBytes("GET", "/read/left") },
@@ -158,6 +173,7 @@
         await start(2, arrival => {
             setTimeout(() => arrival.answer({ status: 503, headers: ["X-Not-Executed: 1"] }), 3 * LEAVE_MS);
         });
+        await fillBudget("/read/filling");
         await callers.run([
             { type: "connect", connection: 0 },
             { type: "send", connection: 0, bytes: requestBytes("GET", "/read/left") },
@@ -179,6 +195,7 @@
         const assignment = () => harness.store.read(ASSIGNMENT_TABLE, KEYED_SERVICE) as KeyAssignment | undefined;
         await waitFor(() => assignment() !== undefined);
         await waitFor(async () => (await harness.request("GET", "/keyed/ready")).status === 200);
+        await fillBudget("/keyed/filling");
         const moveKeys = () => {
             const { ranges, fence, ...rest } = assignment() as KeyAssignment;
             const moved = ranges.map(range => ({
