Read the end of a caller's connection before its request is sent (GONE)

Cause: Node.js reads a request and the end of its connection in different iterations of the event loop, and after a stall it handles timers, answers and established connections before or beside the end. Each place that sends concluded from an end that it hadn't read that the caller was waiting.

Fix: every send that follows an event (a request that was read, a connection, an answer, a change of owners, a timer) lets the event loop poll twice before, and the end cancels it. This depends on no threshold for a stall. A request whose body ends after its caller's end isn't started any more.

--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -10,6 +10,7 @@
 } from "../request/gatewayCall.js";
 import { refuse, type Refusal } from "../request/refusal.js";
 import type { ClientLimits } from "../version/routeConfig.js";
+import { afterInput } from "../process/runtime/afterInput.js";
 import { endWithProblem, handleClientErrors, writeProblem } from "./problemAnswer.js";
 
 /** Limits that apply until a config is known. */
@@ -132,7 +133,7 @@
  * reach the target unchanged. Pipelined requests on a connection run concurrently and are answered in order.
  *
  * @example
- * const server = createGatewayServer({ handle, fieldsOf, isReserved, monotonicMs: clock.monotonicMs, unreadSince });
+ * const server = createGatewayServer({ handle, fieldsOf, isReserved, monotonicMs, unreadSince, abandoned });
  * await server.listen(8641, "10.1.0.15");
  */
 export const createGatewayServer = (options: {
@@ -143,6 +144,8 @@
     monotonicMs: () => number;
     /** Monotonic time in milliseconds since which input that is read now may have waited. */
     unreadSince: () => number;
+    /** Called when a caller has left before its request was handled. */
+    abandoned: () => void;
     connectionLimit?: number;
 }): GatewayServer => {
     let limits = DEFAULT_CLIENT_LIMITS;
@@ -255,7 +258,8 @@
     const receive = (request: IncomingMessage, response: ServerResponse) => {
         const arrivedAt = options.monotonicMs();
         const connection = connectionOf(request.socket);
-        const exchange: Exchange = { cancel: () => undefined, response };
+        let isReceiving = true;
+        const exchange: Exchange = { cancel: () => (isReceiving = false), response };
         connection.exchanges.add(exchange);
         connection.idleAtBytes = undefined;
         response.sendDate = false;
@@ -286,7 +290,15 @@
                 arrivedAt,
                 ...options.fieldsOf(request.headers),
             };
-            exchange.cancel = options.handle(call, reply);
+            // The end of a connection is read after its last request, and a caller that has left isn't served.
+            const cancelStart = afterInput(() => {
+                exchange.cancel = options.handle(call, reply);
+            });
+            exchange.cancel = () => {
+                exchange.cancel = () => undefined;
+                cancelStart();
+                options.abandoned();
+            };
         };
         if (headerBytes(request) > limits.headerBytes) {
             refuseUnread(refuse("header-too-large", `The headers exceed ${limits.headerBytes} bytes.`));
@@ -325,7 +337,7 @@
             }
         });
         request.once("end", () => {
-            if (!isRefused) {
+            if (!isRefused && isReceiving) {
                 start();
             }
         });
--- a/src/connection/resettingConnector.ts
+++ b/src/connection/resettingConnector.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
+import { afterInput } from "../process/runtime/afterInput.js";
 import { limitReads, type ReadLimit } from "./limitReads.js";
 
 /**
@@ -23,6 +24,15 @@
     };
 };
 
+/** Error of a connection that was closed before it was used. */
+export class ClosedConnectionError extends Error {
+    readonly code = "ECONNRESET";
+
+    constructor() {
+        super("The connection was closed as soon as it was established.");
+    }
+}
+
 /**
  * Opens connections that are reset, not closed, when a call on them is aborted or its answer is excessive.
  *
@@ -47,6 +57,13 @@
             socket.once("error", onReset);
             resetOnDestroy(socket);
             limitReads(socket, readLimit);
-            callback(null, socket);
+            // The request is written at once, so the end of its caller's connection has to be read before.
+            afterInput(() => {
+                if (socket.destroyed) {
+                    callback(new ClosedConnectionError(), null);
+                } else {
+                    callback(null, socket);
+                }
+            });
         });
 };
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -260,6 +260,7 @@
             isReserved: platform.isReserved,
             monotonicMs: () => clock.monotonicMs(),
             unreadSince: () => this.stalls.unreadSince(),
+            abandoned: () => this.observer.abandoned(),
         });
     }
 
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -69,6 +69,11 @@
         countRefusal(this.metrics, service, refusal);
     }
 
+    /** Counts a caller that left before a service was chosen for its request. */
+    abandoned(): void {
+        this.metrics.counter("callers_gone_total", { service: NO_SERVICE, state: "received" }).add();
+    }
+
     private callerGone(service: string, outcome: Extract<RequestOutcome, { type: "caller-gone" }>): void {
         const { state, end, sentLateMs } = outcome;
         this.metrics.counter("callers_gone_total", { service, state }).add();
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -281,7 +281,12 @@
         this.cancelOwnerWait();
         this.cancelOwnerWait = () => undefined;
         this.isWaitingForOwner = false;
-        this.place();
+        this.placeAfterInput();
+    }
+
+    /** Places the request unless the end of the caller's connection has arrived. */
+    private placeAfterInput(): void {
+        this.dispose.push(afterInput(() => this.place()));
     }
 
     private send(target: GatewayTarget): void {
@@ -544,7 +549,7 @@
         attempt.record.next = step;
         switch (step) {
             case "send-again":
-                this.place();
+                this.placeAfterInput();
                 return;
             case "deliver":
                 deliver();
