Keep reading from callers whose large answers wait behind an earlier one

Callers saw: nothing; targets went on working for callers that had left.

Cause: an answer that arrives before its turn was handed to the HTTP server, which holds it until the earlier requests of the connection are answered. At 16 KB of held answers it stops reading from the connection at the next request, and with nothing to write neither FIN nor RST is seen. Class: conclusions from missing input; the connection that would tell isn't read.

Fix: `AnswerTurn` holds what is written for a request until its turn. Long answers that are forwarded while they arrive are held by back-pressure.

--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -11,6 +11,7 @@
 import { refuse, type Refusal } from "../request/refusal.js";
 import type { ClientLimits } from "../version/routeConfig.js";
 import { afterInput } from "../process/runtime/afterInput.js";
+import { AnswerTurn } from "./answerTurn.js";
 import { endWithProblem, handleClientErrors, writeProblem } from "./problemAnswer.js";
 
 /** Limits that apply until a config is known. */
@@ -63,6 +64,7 @@
 interface Exchange {
     cancel: (end: CallerEnd) => void;
     response: ServerResponse;
+    turn: AnswerTurn;
 }
 
 /** The state of one connection of a caller. */
@@ -202,7 +204,7 @@
     const replyTo = (
         connection: CallerConnection,
         request: IncomingMessage,
-        response: ServerResponse,
+        { response, turn }: Exchange,
     ): GatewayReply => {
         /** Closes the connection after this answer if no other request is pending on it. */
         const closeWhenDraining = () => {
@@ -227,27 +229,41 @@
         };
         return {
             canClose: () => connection.exchanges.size === 1,
-            answer: (head, body) => {
-                const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
-                if (isFramed(head) || request.method === "HEAD") {
-                    writeHead(head, length);
-                } else {
-                    response.useChunkedEncodingByDefault = false;
-                    writeHead(head, undefined);
-                    response.setHeader("connection", "close");
-                }
-                response.end(body.length === 1 ? body[0] : Buffer.concat(body));
-            },
-            refuse: refusal => {
-                closeWhenDraining();
-                writeProblem(response, refusal);
-            },
+            answer: (head, body) =>
+                turn.run(() => {
+                    const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
+                    if (isFramed(head) || request.method === "HEAD") {
+                        writeHead(head, length);
+                    } else {
+                        response.useChunkedEncodingByDefault = false;
+                        writeHead(head, undefined);
+                        response.setHeader("connection", "close");
+                    }
+                    response.end(body.length === 1 ? body[0] : Buffer.concat(body));
+                }),
+            refuse: refusal =>
+                turn.run(() => {
+                    closeWhenDraining();
+                    writeProblem(response, refusal);
+                }),
             stream: (head, onDrain): AnswerStream => {
-                writeHead(head, undefined);
-                response.on("drain", onDrain);
+                turn.run(() => {
+                    writeHead(head, undefined);
+                    response.on("drain", onDrain);
+                });
                 return {
-                    data: chunk => response.write(chunk),
-                    end: () => response.end(),
+                    data: chunk => {
+                        if (!turn.isHeld) {
+                            return response.write(chunk);
+                        }
+                        turn.run(() => {
+                            if (response.write(chunk)) {
+                                onDrain();
+                            }
+                        });
+                        return false;
+                    },
+                    end: () => turn.run(() => response.end()),
                     abort: () => response.destroy(),
                 };
             },
@@ -259,19 +275,26 @@
         const arrivedAt = options.monotonicMs();
         const connection = connectionOf(request.socket);
         let isReceiving = true;
-        const exchange: Exchange = { cancel: () => (isReceiving = false), response };
+        const exchange: Exchange = {
+            cancel: () => (isReceiving = false),
+            response,
+            turn: new AnswerTurn(connection.exchanges.size === 0),
+        };
         connection.exchanges.add(exchange);
         connection.idleAtBytes = undefined;
         response.sendDate = false;
-        const reply = replyTo(connection, request, response);
+        const reply = replyTo(connection, request, exchange);
         let bodyBytes = 0;
         const chunks: Buffer[] = [];
         const endExchange = () => {
             bufferedBytes -= bodyBytes;
             bodyBytes = 0;
             connection.exchanges.delete(exchange);
-            if (connection.exchanges.size === 0) {
+            const [next] = connection.exchanges;
+            if (next === undefined) {
                 connection.idleAtBytes = request.socket.bytesRead;
+            } else {
+                next.turn.take();
             }
         };
         response.once("close", endExchange);
--- a/test/failure/gatewayAnswers.test.ts
+++ b/test/failure/gatewayAnswers.test.ts
@@ -187,6 +187,28 @@
         expect([...text.matchAll(/\/read\/\d/g)].map(([path]) => path)).toEqual(["/read/1", "/read/2", "/read/3"]);
     });
 
+    it("answers a pipelined request whose long answer arrives before its turn", async () => {
+        const long = "x".repeat(3_000_000);
+        const open = await start(arrival => {
+            const isLong = arrival.url === "/read/2";
+            setTimeout(
+                () => arrival.answer({ body: isLong ? long : arrival.url }),
+                arrival.url === "/read/1" ? 400 : 0,
+            );
+        });
+        const head = (path: string, id: string) =>
+            `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 3000\r\n\r\n`;
+        const text = await open.exchange(head("/read/1", "a") + head("/read/2", "b") + head("/read/3", "c"), received =>
+            received.endsWith("/read/3"),
+        );
+        const bodies = text.split(/HTTP\/1\.1 200 Scripted\r\n|HTTP\/1\.1 200 OK\r\n/).slice(1);
+        expect(bodies.map(answer => answer.slice(answer.indexOf("\r\n\r\n") + 4).length)).toEqual([
+            "/read/1".length,
+            long.length,
+            "/read/3".length,
+        ]);
+    });
+
     it("cancels a repeatable request whose caller has disconnected", async () => {
         const open = await start(() => undefined);
         const socket = open.connect();
