--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -74,23 +74,29 @@
 
     static async start(targets: Record<string, ScriptedTarget>, config = standInConfig(1)): Promise<GatewayHarness> {
         const store = new MemoryRowStore();
-        const log: string[] = [];
         store.put("op", "config", config);
         for (const [id, target] of Object.entries(targets)) {
             store.put("servers", id, standInEntry(target));
         }
+        return GatewayHarness.join(store, "a1");
+    }
+
+    /** Starts an instance on a store. Instances with a peer port exchange messages. */
+    static async join(store: MemoryRowStore, instance: string, peerPort?: number): Promise<GatewayHarness> {
+        const log: string[] = [];
         const gateway = new Gateway({
-            instance: "a1",
+            instance,
             domain: "linz",
             callers: { host: "127.0.0.1", port: 0 },
             readiness: { host: "127.0.0.1", port: 0 },
+            peers: peerPort === undefined ? undefined : { host: "127.0.0.1", port: peerPort },
             metrics: { host: "127.0.0.1", port: 0 },
             graceMs: 5_000,
             maxHoldMs: 10_000,
             retryLimit: { ratio: 0.2, windowMs: 10_000 },
             clock: systemClock,
             loggers: createLoggers({
-                instance: "a1",
+                instance,
                 level: "info",
                 format: "json",
                 output: { write: line => void log.push(line) },
