Let instances exchange several kinds of datagrams through one port

Only load reports had a port. PeerPort opens it and passes each datagram, with its sender, to the handlers of the kinds of messages. No change of behaviour, but an instance without a peer port now counts its load likewise.

--- a/src/connection/datagramPort.ts
+++ b/src/connection/datagramPort.ts
@@ -26,11 +26,11 @@
 export const openDatagramPort = (options: {
     host: string;
     port: number;
-    received: (content: Buffer) => void;
+    received: (content: Buffer, sender: { host: string; port: number }) => void;
 }): Promise<Result<DatagramPort, DatagramPortError>> => {
     const { host, port, received } = options;
     const socket = createSocket("udp4");
-    socket.on("message", received);
+    socket.on("message", (content, { address, port }) => received(content, { host: address, port }));
     return new Promise(resolve => {
         const failed = (error: Error) => {
             socket.close();
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -22,7 +22,7 @@
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
 import { KeyAssigners } from "./keyAssigners.js";
 import { KeyOwners } from "./keyOwners.js";
-import { parsePeerAddress, type PeerAddress } from "./loadExchange.js";
+import { parsePeerAddress, PeerPort, type PeerAddress } from "./peerPort.js";
 import type { RetryLimit } from "./retryLimit.js";
 import { startReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceState } from "./requestLog.js";
@@ -68,7 +68,7 @@
     domain: string;
     callers: { host: string; port: number };
     readiness: { host: string; port: number };
-    /** Address for load reports of other instances; load isn't exchanged when it is left out. */
+    /** Address for messages of other instances; none are exchanged when it is left out. */
     peers?: PeerAddress;
     /** Address at which metrics are served; they aren't served when it is left out. */
     metrics?: { host: string; port: number };
@@ -96,6 +96,7 @@
     private readonly config: ConfigKeeper;
     private readonly targets: GatewayTargets;
     private readonly owners: KeyOwners;
+    private readonly peers: PeerPort;
     private readonly load: SharedLoad;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
@@ -140,12 +141,12 @@
             graceMs: options.graceMs,
         });
         this.owners = new KeyOwners({ clock, logger: loggers("ownership") });
+        this.peers = new PeerPort({ address: options.peers, logger: loggers("peers") });
         this.load = new SharedLoad({
             clock,
-            logger: loggers("peers"),
             targets: this.targets,
             isKeyed: service => this.config.current?.service(service)?.keyed === true,
-            address: options.peers,
+            port: this.peers,
             assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
         });
         this.placement = new TargetPlacement({
@@ -288,8 +289,10 @@
         this.disposables.add(this.stalls.start());
         this.readiness = await startReadinessServer({ ...readiness, isReady: () => this.isReady() });
         const port = await this.server.listen(callers.port, callers.host);
+        this.disposables.add(this.peers);
+        await this.peers.start();
         this.disposables.add(this.load);
-        await this.load.start();
+        this.load.start();
         const metrics = await this.serveMetrics();
         loggers("daemon").info("Started.", { domain, callers: `${callers.host}:${port}`, metrics });
         return { callers: port, readiness: this.readiness.port, metrics };
--- a/src/process/gateway/sharedLoad.ts
+++ b/src/process/gateway/sharedLoad.ts
@@ -1,10 +1,10 @@
-import type { Logger } from "../observability/logger.js";
 import { repeat, type Clock } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
 import type { GatewayTargets } from "./gatewayTargets.js";
 import { DECAY_PERIOD_MS, KeyTraffic } from "./keyTraffic.js";
-import { LoadExchange, type PeerAddress } from "./loadExchange.js";
+import { LoadExchange } from "./loadExchange.js";
 import type { LoadReport } from "./loadReport.js";
+import type { PeerAddress, PeerPort } from "./peerPort.js";
 
 /**
  * The load of keys and targets as seen by this instance and, on the one that assigns keys, as reported by the others.
@@ -20,32 +20,27 @@
     constructor(
         private readonly options: {
             clock: Clock;
-            logger: Logger;
             targets: GatewayTargets;
             isKeyed: (service: string) => boolean;
-            /** Address at which this instance receives reports; without it, reports are neither received nor sent. */
-            address: PeerAddress | undefined;
+            /** Port through which reports are sent and received. */
+            port: PeerPort;
             /** Address for reports of the instance that assigns keys, if it is another one. */
             assigner: () => PeerAddress | undefined;
         },
     ) {}
 
-    async start(): Promise<void> {
-        const { clock, logger, address, assigner } = this.options;
+    start(): void {
+        const { clock, port, assigner } = this.options;
         this.disposables.add(repeat(clock, DECAY_PERIOD_MS, () => this.traffic.forEach(traffic => traffic.decay())));
-        if (address === undefined) {
-            return;
-        }
         const exchange = new LoadExchange({
-            address,
+            port,
             clock,
-            logger,
             assigner,
             collect: () => this.collect(),
             received: report => this.applyReport(report),
         });
         this.disposables.add(exchange);
-        await exchange.start();
+        exchange.start();
     }
 
     /** Counts a request received by this instance. */
