Keep the limits that targets state, at one instance that admits (LIMIT)

Callers saw: targets in need got all requests, up to 56 in 4 s where 22 are allowed, from instances that they had told.

Cause: the gateway read no limit from answers.

Fix: an instance that knows a limit asks the holder of the assigner lease before it sends a request, repeats included. Without an answer the request is refused, so instances that can't reach each other don't exceed the limit together. An answer without a limit to a request that was sent after the last statement ends it everywhere. Refused callers are told their turn. Targets without a limit are used first, keys are moved from a limited owner by its limit as its capacity, and requests to targets without a limit ask nobody.

--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -32,6 +32,7 @@
             tried: new Set(unreached),
             unreached: new Set(unreached),
             notOwners: new Set(),
+            limited: new Map(),
             leftMs: 3_000,
         });
     return { owner, place };
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -17,6 +17,8 @@
  * lease, and several instances read it at different times.
  */
 const WATCH_MS = 5_000;
+/** Minimum interval between reads that are made before they are due, in milliseconds. */
+const MIN_WATCH_MS = 1_000;
 /** Pause after a failed call, in milliseconds. */
 const FAILURE_PAUSE_MS = 250;
 /** Relative clock drift allowed for while waiting for another instance's lease to expire. */
@@ -67,6 +69,10 @@
     private holderAddress: string | undefined;
     private disposed = false;
     private cancelTimer: TimerCancellation = () => undefined;
+    /** Monotonic time in milliseconds of the last read of the row. */
+    private watchedAt = -Infinity;
+    /** Ends the pause before the next step. */
+    private wake: () => void = () => undefined;
 
     constructor(
         private readonly options: {
@@ -114,6 +120,14 @@
         void this.run();
     }
 
+    /** Reads the lease before it is due, unless it has just been read; its holder may have changed. */
+    lookAgain(): void {
+        if (!this.isHolder && this.options.clock.monotonicMs() - this.watchedAt >= MIN_WATCH_MS) {
+            this.cancelTimer();
+            this.wake();
+        }
+    }
+
     /**
      * Releases the lease, so that another instance need not wait for it to expire. It is no longer held from this call on;
      * the row is deleted once `settled` has resolved, when all calls made under the lease have ended.
@@ -150,6 +164,7 @@
             const pauseMs = this.isHolder ? await this.write() : await this.watch();
             await new Promise<void>(resolve => {
                 this.cancelTimer = this.options.clock.setTimer(pauseMs, resolve);
+                this.wake = resolve;
             });
         }
     }
@@ -158,6 +173,7 @@
     private async watch(): Promise<number> {
         const { store, clock, instance } = this.options;
         const sentAt = clock.monotonicMs();
+        this.watchedAt = sentAt;
         const reading = await store.row(LEASE_TABLE, LEASE_KEY);
         if (reading.isErr()) {
             return FAILURE_PAUSE_MS * 2;
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -5,7 +5,7 @@
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { WeightedSplit } from "../../version/weightedSplit.js";
-import { repeat, type Clock } from "../runtime/clock.js";
+import { repeat, type Clock, type TimerCancellation } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
 import { StallWatch } from "../runtime/stallWatch.js";
 import type { Logger, LogPart } from "../observability/logger.js";
@@ -17,11 +17,13 @@
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
-import type { GatewayTarget } from "./gatewayTarget.js";
+import type { GatewayTarget, StatedLimit } from "./gatewayTarget.js";
 import { GatewayTargets } from "./gatewayTargets.js";
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
 import { KeyAssigners } from "./keyAssigners.js";
 import { KeyOwners } from "./keyOwners.js";
+import { LimitAdmitter } from "./limitAdmitter.js";
+import { LimitExchange, type Permit } from "./limitExchange.js";
 import { parsePeerAddress, PeerPort, type PeerAddress } from "./peerPort.js";
 import type { RetryLimit } from "./retryLimit.js";
 import { startReadinessServer } from "./readinessServer.js";
@@ -98,6 +100,8 @@
     private readonly owners: KeyOwners;
     private readonly peers: PeerPort;
     private readonly load: SharedLoad;
+    private readonly admitter: LimitAdmitter;
+    private readonly limits: LimitExchange;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
@@ -149,6 +153,17 @@
             port: this.peers,
             assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
         });
+        this.admitter = new LimitAdmitter(clock);
+        this.limits = new LimitExchange({
+            clock,
+            admitter: this.admitter,
+            isAdmitting: () => this.assigners.lease.isHeld(),
+            admittingAddress: () => parsePeerAddress(this.assigners.lease.assignerAddress),
+            send: (address, content) => this.peers.send(address, content),
+            unanswered: () => this.assigners.lease.lookAgain(),
+            limitEnded: ({ id, startedAtMs }, before) => this.targets.get(id, startedAtMs)?.endLimit(before),
+        });
+        this.peers.handle(this.limits.receive);
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
             keyMap: service => this.owners.of(service),
@@ -203,6 +218,7 @@
             logger: loggers("ownership"),
             targets: this.targets,
             load: this.load,
+            admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
         });
         this.log = new RequestLog({
@@ -231,6 +247,8 @@
                 this.ownersFollower.refresh();
                 return this.owners.onChange(service, callback);
             },
+            permit: (target, limit, callback) => this.permit(target, limit, callback),
+            limitStated: (target, perSecond, sentAt) => this.limitStated(target, perSecond, sentAt),
             takeRetry: service => {
                 const isGranted = this.retriesOf(service).take();
                 this.retryMeter.budgeted(service, isGranted);
@@ -362,6 +380,30 @@
         return () => undefined;
     }
 
+    /** Asks whether a request may be sent to a target with a limit. */
+    private permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation {
+        const { id, service, startedAtMs } = target.listed.entry;
+        const ageMs = this.options.clock.monotonicMs() - limit.statedAt;
+        return this.limits.permit({ id, startedAtMs, perSecond: limit.perSecond, ageMs }, permit => {
+            this.metrics.counter("limit_permits_total", { service, result: permit.result }).add();
+            callback(permit);
+        });
+    }
+
+    /** Applies what an answer to a request that was sent at `sentAt` says of its target's limit. */
+    private limitStated(target: GatewayTarget, perSecond: number | undefined, sentAt: number): void {
+        const { id, service, startedAtMs } = target.listed.entry;
+        const hasChanged = perSecond === undefined ? target.endLimit(sentAt) : target.stateLimit(perSecond);
+        if (!hasChanged) {
+            return;
+        }
+        this.options
+            .loggers("dispatch")
+            .info(`The limit of target ${id} has changed.`, { service, perSecond: perSecond ?? "none" });
+        const ageMs = perSecond === undefined ? this.options.clock.monotonicMs() - sentAt : 0;
+        this.limits.learned({ id, startedAtMs, perSecond: target.limit?.perSecond, ageMs });
+    }
+
     private excessiveAnswer(
         { call, service }: GatewayRequest,
         target: GatewayTarget,
@@ -403,6 +445,7 @@
                 service: target.listed.entry.service,
                 target: target.id,
                 inFlight: target.running,
+                limit: target.limit?.perSecond,
             })),
             retries: [...this.retries].map(([service, budget]) => ({ service, available: budget.available() })),
         };
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -11,7 +11,7 @@
     /** Time since the store last answered, in milliseconds. */
     storeSilentMs: number;
     isAssigner: boolean;
-    targets: Iterable<{ service: string; target: string; inFlight: number }>;
+    targets: Iterable<{ service: string; target: string; inFlight: number; limit: number | undefined }>;
     retries: Iterable<{ service: string; available: number }>;
 }
 
@@ -39,6 +39,8 @@
  */
 export class GatewayMetrics {
     private readonly cells = new Map<string, ServiceCells>();
+    /** Targets that have stated a limit. */
+    private readonly limited = new Set<string>();
 
     constructor(
         private readonly metrics: Metrics,
@@ -84,6 +86,7 @@
 
     /** Removes the series of a target that is gone. */
     targetGone(target: string): void {
+        this.limited.delete(target);
         this.metrics.removeSeries("target", target);
     }
 
@@ -93,8 +96,12 @@
         this.metrics.gauge("platform_up", {}).set(storeSilentMs < STORE_DOWN_MS ? 1 : 0);
         this.metrics.gauge("platform_silence_seconds", {}).set(storeSilentMs / 1_000);
         this.metrics.gauge("key_assigner", {}).set(isAssigner ? 1 : 0);
-        for (const { service, target, inFlight } of targets) {
+        for (const { service, target, inFlight, limit } of targets) {
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
+            if (limit !== undefined || this.limited.has(target)) {
+                this.limited.add(target);
+                this.metrics.gauge("target_stated_limit", { service, target }).set(limit ?? Infinity);
+            }
         }
         for (const { service, available } of retries) {
             this.metrics.gauge("retry_budget_tokens", { service }).set(available);
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -23,6 +23,19 @@
 const MIN_SUSPICION_MS = 400;
 const MAX_SUSPICION_MS = 3_000;
 
+/** Least limit that is kept, in requests per second. Without any answers, the end of a limit wouldn't be noticed. */
+const MIN_LIMIT_PER_SECOND = 0.1;
+/** Ratio of load to slots that is assumed of a target whose limit refuses callers. */
+const EXCEEDED_PRESSURE = 1;
+
+/** A limit that a target has stated. */
+export interface StatedLimit {
+    /** Requests that it takes from all instances together, per second. */
+    perSecond: number;
+    /** Monotonic time in milliseconds at which it was last stated. */
+    statedAt: number;
+}
+
 /** This instance's view of one target: its connections, load, speed and failures. */
 export class GatewayTarget {
     readonly connections: TargetConnections;
@@ -39,6 +52,7 @@
     private unanswered = 0;
     private suspectUntil = -Infinity;
     private readonly warmUntil: number;
+    private statedLimit: StatedLimit | undefined;
 
     constructor(
         readonly listed: DirectoryTarget,
@@ -64,6 +78,31 @@
         return this.clock.monotonicMs() < this.suspectUntil;
     }
 
+    /** The limit that the target states; `undefined` while it states none. */
+    get limit(): StatedLimit | undefined {
+        return this.statedLimit;
+    }
+
+    /** Applies a stated limit in requests per second. Returns whether it has changed. */
+    stateLimit(stated: number): boolean {
+        const perSecond = Math.max(MIN_LIMIT_PER_SECOND, stated);
+        const hasChanged = this.statedLimit?.perSecond !== perSecond;
+        this.statedLimit = { perSecond, statedAt: this.clock.monotonicMs() };
+        return hasChanged;
+    }
+
+    /**
+     * Drops the limit because of an answer without one to a request that was sent at `sentAt`. Returns whether there was a
+     * limit; one that was stated after the request was sent holds.
+     */
+    endLimit(sentAt: number): boolean {
+        if (this.statedLimit === undefined || this.statedLimit.statedAt >= sentAt) {
+            return false;
+        }
+        this.statedLimit = undefined;
+        return true;
+    }
+
     started(): void {
         this.inFlight++;
     }
@@ -145,12 +184,23 @@
         return others + this.inFlight;
     }
 
-    /** Relative capacity by slots and service time, and how much of it is used; input for the assignment of keys. */
-    measure(): { capacity: number; pressure: number } {
+    /**
+     * Relative capacity by slots, service time and limit, and how much of it is used; input for the assignment of keys.
+     *
+     * @param limit limit in requests per second, and whether callers are refused because of it
+     */
+    measure(limit?: { perSecond: number; isExceeded: boolean }): { capacity: number; pressure: number } {
         const { slots } = this.listed.entry;
         const known = this.samples + PRIOR_SAMPLES;
         const serviceMs = (this.serviceMs * this.samples + INITIAL_SERVICE_MS * PRIOR_SAMPLES) / known;
-        return { capacity: slots / serviceMs, pressure: Math.max(this.pressure, this.inFlight / slots) };
+        const capacity = slots / serviceMs;
+        const pressure = Math.max(this.pressure, this.inFlight / slots);
+        return limit === undefined
+            ? { capacity, pressure }
+            : {
+                  capacity: Math.min(capacity, limit.perSecond / 1_000),
+                  pressure: limit.isExceeded ? Math.max(pressure, EXCEEDED_PRESSURE) : pressure,
+              };
     }
 
     /** Input for the choice among targets. */
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -6,6 +6,7 @@
 import type { GatewayTargets } from "./gatewayTargets.js";
 import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { KeyAssigner } from "./keyAssigner.js";
+import type { LimitAdmitter } from "./limitAdmitter.js";
 import type { OwnershipCalls } from "./ownershipCalls.js";
 import type { RowStore } from "./rowStore.js";
 import type { SharedLoad } from "./sharedLoad.js";
@@ -34,6 +35,8 @@
             logger: Logger;
             targets: GatewayTargets;
             load: SharedLoad;
+            /** Admits requests to targets with limits while this instance holds the lease. */
+            admitter: LimitAdmitter;
             /** Maximum time for which targets may be granted keys, in milliseconds. */
             maxHoldMs: number;
         },
@@ -51,6 +54,7 @@
                     this.assigners.forEach(assigner => void assigner.resume());
                 } else {
                     this.end();
+                    this.options.admitter.clear();
                 }
                 this.update(this.services);
             },
@@ -94,7 +98,7 @@
     }
 
     private createAssigner(service: string): KeyAssigner {
-        const { store, calls, clock, logger, targets, load, maxHoldMs } = this.options;
+        const { store, calls, clock, logger, targets, load, admitter, maxHoldMs } = this.options;
         return new KeyAssigner({
             service,
             store,
@@ -104,7 +108,7 @@
             lease: this.lease,
             targets: () => [...targets.directory.all()].filter(({ entry }) => entry.service === service),
             allTargets: () => targets.directory.all(),
-            measure: listed => targets.view(listed).measure(),
+            measure: listed => targets.view(listed).measure(admitter.limitOf(listed.entry)),
             weights: () => load.weights(service),
             holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
         });
--- /dev/null
+++ b/src/process/gateway/limitExchange.ts
@@ -0,0 +1,197 @@
+import type { Clock, TimerCancellation } from "../runtime/clock.js";
+import type { LimitAdmitter, LimitAnswer, LimitedTarget } from "./limitAdmitter.js";
+import { decodeLimitMessage, encodeLimitMessage, type LimitKnowledge } from "./limitMessage.js";
+import type { DatagramHandler, PeerAddress } from "./peerPort.js";
+
+/**
+ * Time after which a question counts as unanswered, in milliseconds. It is also the longest time from the admission of a
+ * request to its sending.
+ */
+export const ANSWER_TIMEOUT_MS = 150;
+/** Time for which requests are refused without a question after one that wasn't answered, in milliseconds. */
+export const SILENCE_PAUSE_MS = 500;
+/** Maximum time for which requests are refused without a question, in milliseconds; the limit may have changed. */
+const MAX_CLOSED_MS = 1_000;
+
+/** Decision about one request, with the delay in milliseconds after which its caller may return. */
+export type Permit =
+    | { type: "admitted"; result: "admitted" }
+    | {
+          type: "refused";
+          /** Whether the limit refused it, or no instance answered that admits. */
+          result: "refused" | "unanswered";
+          retryAfterMs: number;
+      };
+
+/** The time until which requests to a target are refused without a question. */
+interface Closing {
+    until: number;
+    /** Monotonic time in milliseconds of the turn of the last refused caller. */
+    lastTurnAt: number;
+    /** Time between two turns, in milliseconds. */
+    turnMs: number;
+}
+
+/**
+ * Asks the instance that admits requests to targets with limits for each request, and answers the questions of the others
+ * while this instance admits. Without an answer the request is refused, so that instances that can't reach each other don't
+ * exceed the limit together.
+ *
+ * @example
+ * const exchange = new LimitExchange({ clock, admitter, isAdmitting, admittingAddress, send, unanswered });
+ * const cancel = exchange.permit({ id: "stock-7", startedAtMs, perSecond: 2, ageMs: 40 }, permit => proceed(permit));
+ */
+export class LimitExchange {
+    private readonly pending = new Map<number, (answer: LimitAnswer | { type: "not-admitting" }) => void>();
+    private readonly closings = new Map<string, Closing>();
+    /** Requests that were refused without a question since the last one, by target. */
+    private readonly refused = new Map<string, number>();
+    private questions = 0;
+
+    constructor(
+        private readonly options: {
+            clock: Clock;
+            /** Decides while this instance admits. */
+            admitter: LimitAdmitter;
+            isAdmitting: () => boolean;
+            /** Address of the instance that admits; `undefined` while it is unknown or is this one. */
+            admittingAddress: () => PeerAddress | undefined;
+            send: (address: PeerAddress, content: Buffer) => void;
+            /** Called when no instance has admitted or refused a request. */
+            unanswered: () => void;
+            /** Called when a target is found to have ended its limit before a time, in milliseconds of the monotonic clock. */
+            limitEnded: (target: LimitedTarget, before: number) => void;
+        },
+    ) {}
+
+    /**
+     * Calls back once, at the latest after `ANSWER_TIMEOUT_MS`; returns a function that cancels this. A permit that is
+     * cancelled is lost.
+     */
+    permit(knowledge: LimitKnowledge & { perSecond: number }, callback: (permit: Permit) => void): TimerCancellation {
+        const { admitter, isAdmitting, admittingAddress, send } = this.options;
+        const askedAt = this.options.clock.monotonicMs();
+        const closed = this.refuseIfClosed(knowledge);
+        if (closed !== undefined) {
+            callback(closed);
+            return () => undefined;
+        }
+        if (isAdmitting()) {
+            callback(this.applied(askedAt, knowledge, admitter.ask(knowledge, this.takeRefused(knowledge))));
+            return () => undefined;
+        }
+        const address = admittingAddress();
+        if (address === undefined) {
+            callback(this.applied(askedAt, knowledge, { type: "not-admitting" }));
+            return () => undefined;
+        }
+        return this.question(knowledge, callback, content => send(address, content));
+    }
+
+    /** Passes a changed limit on to the instance that admits. */
+    learned(knowledge: LimitKnowledge): void {
+        const { admitter, isAdmitting, admittingAddress, send } = this.options;
+        this.closings.delete(knowledge.id);
+        if (isAdmitting()) {
+            admitter.learn(knowledge);
+            return;
+        }
+        const address = admittingAddress();
+        if (address !== undefined) {
+            send(address, encodeLimitMessage({ type: "limit-learned", knowledge }));
+        }
+    }
+
+    /** Handles a datagram of another instance; returns `false` if it isn't about limits. */
+    receive: DatagramHandler = (content, sender) => {
+        const message = decodeLimitMessage(content);
+        if (message === undefined) {
+            return false;
+        }
+        const { admitter, isAdmitting, send } = this.options;
+        switch (message.type) {
+            case "limit-ask": {
+                const { question, knowledge, refused } = message;
+                const answer = isAdmitting() ? admitter.ask(knowledge, refused) : { type: "not-admitting" as const };
+                send(sender, encodeLimitMessage({ type: "limit-answer", question, answer }));
+                break;
+            }
+            case "limit-learned":
+                if (isAdmitting()) {
+                    admitter.learn(message.knowledge);
+                }
+                break;
+            case "limit-answer":
+                this.pending.get(message.question)?.(message.answer);
+                break;
+        }
+        return true;
+    };
+
+    private question(
+        knowledge: LimitKnowledge,
+        callback: (permit: Permit) => void,
+        send: (content: Buffer) => void,
+    ): TimerCancellation {
+        const question = ++this.questions;
+        const askedAt = this.options.clock.monotonicMs();
+        const settle = (answer: LimitAnswer | { type: "not-admitting" }) => {
+            this.pending.delete(question);
+            cancelTimer();
+            callback(this.applied(askedAt, knowledge, answer));
+        };
+        const cancelTimer = this.options.clock.setTimer(ANSWER_TIMEOUT_MS, () => settle({ type: "not-admitting" }));
+        this.pending.set(question, settle);
+        send(encodeLimitMessage({ type: "limit-ask", question, knowledge, refused: this.takeRefused(knowledge) }));
+        return () => {
+            this.pending.delete(question);
+            cancelTimer();
+        };
+    }
+
+    /** Converts an answer to a permit, and keeps what it says about the next requests. */
+    private applied(askedAt: number, target: LimitKnowledge, answer: LimitAnswer | { type: "not-admitting" }): Permit {
+        switch (answer.type) {
+            case "admitted":
+                return { type: "admitted", result: "admitted" };
+            case "unlimited":
+                this.options.limitEnded(target, askedAt);
+                return { type: "admitted", result: "admitted" };
+            case "refused":
+                this.close(target, answer.freeInMs, answer.retryAfterMs);
+                return { type: "refused", result: "refused", retryAfterMs: answer.retryAfterMs };
+            case "not-admitting":
+                this.options.unanswered();
+                this.close(target, SILENCE_PAUSE_MS, SILENCE_PAUSE_MS);
+                return { type: "refused", result: "unanswered", retryAfterMs: SILENCE_PAUSE_MS };
+        }
+    }
+
+    private close({ id, perSecond }: LimitKnowledge, freeInMs: number, retryAfterMs: number): void {
+        const now = this.options.clock.monotonicMs();
+        this.closings.set(id, {
+            until: now + Math.min(MAX_CLOSED_MS, freeInMs),
+            lastTurnAt: now + retryAfterMs,
+            turnMs: 1_000 / (perSecond ?? 1),
+        });
+    }
+
+    private takeRefused({ id }: LimitedTarget): number {
+        const count = this.refused.get(id) ?? 0;
+        this.refused.delete(id);
+        return count;
+    }
+
+    /** Refuses a request that the target's limit can't admit yet. Its caller's turn comes after those refused before. */
+    private refuseIfClosed({ id }: LimitedTarget): Permit | undefined {
+        const now = this.options.clock.monotonicMs();
+        const closing = this.closings.get(id);
+        if (closing === undefined || now >= closing.until) {
+            this.closings.delete(id);
+            return undefined;
+        }
+        closing.lastTurnAt += closing.turnMs;
+        this.refused.set(id, (this.refused.get(id) ?? 0) + 1);
+        return { type: "refused", result: "refused", retryAfterMs: closing.lastTurnAt - now };
+    }
+}
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -59,7 +59,9 @@
     /** Whether there is a target for another attempt. An overloaded key owner can't be replaced by another target. */
     canPlaceAgain(query: PlacementQuery, end: AttemptEnd): boolean {
         if (!this.isKeyed(query.service)) {
-            return this.view.targets(query.service).some(target => !query.tried.has(target));
+            return this.view
+                .targets(query.service)
+                .some(target => !query.tried.has(target) && !query.limited.has(target));
         }
         const owner = this.ownerOf(query);
         switch (end) {
@@ -100,7 +102,7 @@
                 this.refusal("owner-unreachable", `Owner ${owner.id} can't be reached.`, NO_OWNER_PAUSE_S),
             );
         }
-        return this.admitOrRefuse(owner, query);
+        return this.refuseIfLimited(owner, query) ?? this.admitOrRefuse(owner, query);
     }
 
     /** Refuses because of a missing owner only if the known owners are up to date; waits for changes otherwise. */
@@ -109,16 +111,52 @@
     }
 
     private placeAnywhere(query: PlacementQuery): Placement {
-        const { route, service, tried } = query;
-        const candidates = this.view
-            .targets(service)
-            .filter(target => !tried.has(target))
-            .map(target => target.candidate());
+        const untried = this.view.targets(query.service).filter(target => !query.tried.has(target));
+        const placement = this.choose(
+            untried.filter(({ limit }) => limit === undefined),
+            query,
+        );
+        if (placement?.type === "target") {
+            return placement;
+        }
+        // Targets with limits are in need, so they are used only where the others can't serve the caller.
+        const limited = untried.filter(target => target.limit !== undefined);
+        const admitting = this.choose(
+            limited.filter(target => !query.limited.has(target)),
+            query,
+        );
+        return (
+            [admitting, placement].find(found => found !== undefined) ??
+            this.soonestOf(limited, query) ??
+            this.refusal("owner-unreachable", `Service ${query.service} has no further target.`, NO_OWNER_PAUSE_S)
+        );
+    }
+
+    /** Chooses among targets any of which may run a request; `undefined` if there are none. */
+    private choose(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
+        const { route } = query;
         const answerKb = this.answerKb.get(route.name) ?? (route.bulk ? INITIAL_BULK_ANSWER_KB : INITIAL_ANSWER_KB);
+        const candidates = targets.map(target => target.candidate());
         const chosen = chooseTarget(candidates, answerKb, this.view.random);
-        return chosen === undefined
-            ? this.refusal("owner-unreachable", `Service ${service} has no further target.`, NO_OWNER_PAUSE_S)
-            : this.admitOrRefuse(chosen.target, query);
+        return chosen === undefined ? undefined : this.admitOrRefuse(chosen.target, query);
+    }
+
+    /** Refuses because of the target whose limit admits the caller soonest; `undefined` if none has refused it. */
+    private soonestOf(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
+        const delayOf = (target: GatewayTarget) => query.limited.get(target) ?? Infinity;
+        const [soonest] = [...targets].sort((a, b) => delayOf(a) - delayOf(b));
+        return soonest === undefined ? undefined : this.refuseIfLimited(soonest, query);
+    }
+
+    /** Refuses a request that its target's limit hasn't admitted. */
+    private refuseIfLimited(target: GatewayTarget, query: PlacementQuery): Placement | undefined {
+        const retryAfterMs = query.limited.get(target);
+        if (retryAfterMs === undefined) {
+            return undefined;
+        }
+        // The delay is the caller's turn, so it has no jitter.
+        const text = `Target ${target.id} takes ${target.limit?.perSecond ?? 0} requests a second.`;
+        return { type: "refuse", refusal: refuse("overloaded", text, retryAfterMs / 1_000) };
     }
 
     /**
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -52,6 +52,16 @@
         help: "Requests sent to a target although their caller may have left over half a second before, by why that was read late: `stall` or `paused`.",
         labels: ["service", "cause"],
     },
+    limit_permits_total: {
+        type: "counter",
+        help: "Requests for a target with a stated limit, by `result`: `admitted`, `refused`, or `unanswered` when no instance admits.",
+        labels: ["service", "result"],
+    },
+    target_stated_limit: {
+        type: "gauge",
+        help: "Requests per second that the target states that it takes from all instances together; infinite once it states none.",
+        labels: ["service", "target"],
+    },
     stalls_total: { type: "counter", help: "Times that the event loop of a gateway stalled.", labels: [] },
     request_seconds: {
         type: "summary",
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -41,6 +41,8 @@
     /** Identifier of the answering target, if it states one. */
     answeredBy: string | undefined;
     load: ReportedLoad | undefined;
+    /** Requests per second that the target takes from all instances together; `undefined` if it states no limit. */
+    limitPerSecond: number | undefined;
 }
 
 /** Load that a target reports with an answer. */
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -2,7 +2,8 @@
 import type { Header } from "../connection/peerProtocol.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
-import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
+import type { GatewayTarget, StatedLimit } from "../process/gateway/gatewayTarget.js";
+import type { Permit } from "../process/gateway/limitExchange.js";
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
 import { decideAfterAttempt, type AttemptEnd, type NextStep, type RetryCause } from "./decideAfterAttempt.js";
@@ -54,6 +55,8 @@
     unreached: ReadonlySet<GatewayTarget>;
     /** Targets that stated that they don't own its key. */
     notOwners: ReadonlySet<GatewayTarget>;
+    /** Targets whose limits admitted no further request, with the delay after which their callers may return. */
+    limited: ReadonlyMap<GatewayTarget, number>;
     /** Milliseconds until the final answer is due. */
     leftMs: number;
 }
@@ -69,6 +72,13 @@
     onOwnerChange(service: string, callback: () => void): TimerCancellation;
     /** Whether a target is available for another attempt after one that ended like this. */
     canPlaceAgain(query: PlacementQuery, end: AttemptEnd): boolean;
+    /**
+     * Asks whether a request may be sent to a target with a limit, and calls back once, also before it returns. The returned
+     * function cancels this.
+     */
+    permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation;
+    /** Called with a target's limit in requests per second as an answer states it; see `GatewayTarget.endLimit`. */
+    limitStated(target: GatewayTarget, perSecond: number | undefined, sentAt: number): void;
     /** Takes a retry from the budget of the service; `false` if there is none. */
     takeRetry(service: string): boolean;
     /** Called when a request is being sent to a further target. */
@@ -92,7 +102,7 @@
 export type ExcessivePart = "content" | "framing";
 
 /** What a request was waiting for when its caller left. */
-export type RequestState = "owner-wait" | "placement" | "connecting" | "at-target" | "forwarding";
+export type RequestState = "owner-wait" | "limit-wait" | "placement" | "connecting" | "at-target" | "forwarding";
 
 /** How a request ended. */
 export type RequestOutcome =
@@ -152,6 +162,9 @@
     private readonly tried = new Set<GatewayTarget>();
     private readonly unreached = new Set<GatewayTarget>();
     private readonly notOwners = new Set<GatewayTarget>();
+    private readonly limited = new Map<GatewayTarget, number>();
+    /** Whether it waits for the permit to send to a target with a limit. */
+    private isWaitingForPermit = false;
     /** Time from the arrival until the final answer is due, in milliseconds. */
     readonly allowedMs: number;
     private readonly expiresAt: number;
@@ -222,12 +235,15 @@
         if (this.attempt !== undefined) {
             return this.attempt.wasSent ? "at-target" : "connecting";
         }
+        if (this.isWaitingForPermit) {
+            return "limit-wait";
+        }
         return this.isWaitingForOwner ? "owner-wait" : "placement";
     }
 
     /** Starts an attempt if none is under way and the limits of the request allow another one. */
     private place(): void {
-        if (this.isDone || this.attempt !== undefined) {
+        if (this.isDone || this.attempt !== undefined || this.isWaitingForPermit) {
             return;
         }
         if (this.leftMs() <= 0) {
@@ -242,7 +258,7 @@
         const placement = services.place(this.query());
         switch (placement.type) {
             case "target":
-                this.send(placement.target);
+                this.sendIfAdmitted(placement.target);
                 return;
             case "wait":
                 this.waitForOwner(placement.maxWaitMs);
@@ -255,8 +271,42 @@
     }
 
     private query(): PlacementQuery {
-        const { call, route, service, tried, unreached, notOwners } = this;
-        return { call, route, service, tried, unreached, notOwners, leftMs: this.leftMs() };
+        const { call, route, service, tried, unreached, notOwners, limited } = this;
+        return { call, route, service, tried, unreached, notOwners, limited, leftMs: this.leftMs() };
+    }
+
+    /** Sends the request to a target, if the target has no limit or its limit admits the request. */
+    private sendIfAdmitted(target: GatewayTarget): void {
+        if (target.limit === undefined) {
+            this.send(target);
+            return;
+        }
+        this.isWaitingForPermit = true;
+        let isSynchronous = true;
+        const cancel = this.services.permit(target, target.limit, permit => {
+            this.isWaitingForPermit = false;
+            if (permit.type === "refused") {
+                this.limited.set(target, permit.retryAfterMs);
+                this.place();
+            } else if (isSynchronous) {
+                this.send(target);
+            } else {
+                this.dispose.push(afterInput(() => this.sendAdmitted(target)));
+            }
+        });
+        isSynchronous = false;
+        this.dispose.push(cancel);
+    }
+
+    private sendAdmitted(target: GatewayTarget): void {
+        if (this.isDone || this.attempt !== undefined) {
+            return;
+        }
+        if (this.leftMs() <= 0) {
+            this.expire();
+            return;
+        }
+        this.send(target);
     }
 
     private waitForOwner(maxWaitMs: number): void {
@@ -336,6 +386,10 @@
                     }
                     if (facts.requestId !== undefined && facts.requestId !== call.requestId) {
                         attempt.sent?.abort("the answer belongs to another request");
+                        return;
+                    }
+                    if (facts.limitPerSecond !== undefined || (target.limit !== undefined && facts.signed)) {
+                        this.services.limitStated(target, facts.limitPerSecond, attempt.sentAt ?? startedAt);
                     }
                 },
                 data: chunk => {
@@ -436,15 +490,18 @@
         }
         const query = this.query();
         const placement = this.services.canPlaceAgain(query, "silent") ? this.services.place(query) : undefined;
-        const step = this.decide("silent", placement?.type === "target");
-        if (step !== "send-again" || placement?.type !== "target") {
+        // A target with a limit might refuse the request, whose answer may still arrive.
+        const further =
+            placement?.type === "target" && placement.target.limit === undefined ? placement.target : undefined;
+        const step = this.decide("silent", further !== undefined);
+        if (step !== "send-again" || further === undefined) {
             return;
         }
         attempt.record.next = step;
         attempt.record.end = "no answer in time";
         attempt.target.unansweredCall(attempt.startedAt);
         this.abortAttempt("the target sent no answer");
-        this.send(placement.target);
+        this.send(further);
     }
 
     /** Marks an attempt as ended. Returns `false` if it has already ended. */
