--- /dev/null
+++ b/src/process/gateway/__tests__/gatewayTarget.test.ts
@@ -0,0 +1,73 @@
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import { GatewayTarget } from "../gatewayTarget.js";
+import { KEY_COUNT, type KeyRange } from "../keyMap.js";
+import { KeyLoads, planMoves, type PlannedTarget } from "../planMoves.js";
+import type { DirectoryTarget } from "../targetDirectory.js";
+
+const createTarget = (id: string) => {
+    const clock = new ManualClock();
+    const entry = { id, service: "stock", address: "127.0.0.1:1", slots: 3, warmupLeftMs: 0, startedAtMs: 1 };
+    return { clock, target: new GatewayTarget({ entry } as unknown as DirectoryTarget, clock, true, 4) };
+};
+
+describe("a target that states a limit", () => {
+    it("is limited until it answers a request without one that was sent after the last statement", () => {
+        const { clock, target } = createTarget("t1");
+        clock.advance(100);
+        expect([target.stateLimit(2), target.stateLimit(2), target.stateLimit(3)]).toEqual([true, false, true]);
+        clock.advance(100);
+        expect([target.endLimit(90), target.limit?.perSecond]).toEqual([false, 3]);
+        expect([target.endLimit(150), target.limit]).toEqual([true, undefined]);
+        expect(target.endLimit(150)).toBe(false);
+    });
+
+    it("keeps a limit above 0, because its end is noticed by an answer only", () => {
+        const { target } = createTarget("t1");
+        target.stateLimit(0);
+        expect(target.limit?.perSecond).toBeGreaterThan(0);
+    });
+
+    it("loses keys to the others while callers are refused, down to the share that its limit allows", () => {
+        const targets = ["t0", "t1", "t2", "t3"].map(id => createTarget(id).target);
+        const size = KEY_COUNT / targets.length;
+        let ranges: KeyRange[] = targets.map(({ id }, index) => ({
+            from: index * size,
+            to: (index + 1) * size - 1,
+            target: id,
+            startedAtMs: 1,
+            address: "",
+            fence: 1,
+        }));
+        const loads = new KeyLoads(new Float64Array(KEY_COUNT).fill(1));
+        const planned = (isExceeded: boolean): PlannedTarget[] =>
+            targets.map((target, index) => ({
+                id: target.id,
+                startedAtMs: 1,
+                ...target.measure(index === 0 ? { perSecond: 3, isExceeded } : undefined),
+                canReceive: true,
+                canRelease: true,
+            }));
+        const plan = (isExceeded: boolean) => planMoves({ ranges, targets: planned(isExceeded), loads, balance: true });
+        expect(plan(false)).toEqual([]);
+        for (let round = 0; round < 40; round++) {
+            for (const move of plan(true)) {
+                ranges = ranges.flatMap(range => {
+                    if (move.from < range.from || move.to > range.to) {
+                        return [range];
+                    }
+                    return [
+                        { ...range, to: move.from - 1 },
+                        { ...range, from: move.from, to: move.to, target: move.target },
+                        { ...range, from: move.to + 1 },
+                    ].filter(({ from, to }) => from <= to);
+                });
+            }
+        }
+        const owned = ranges
+            .filter(({ target }) => target === "t0")
+            .reduce((sum, { from, to }) => sum + to - from + 1, 0);
+        // The others run 30 requests a second each in 3 slots, so a tenth of their share is fair.
+        expect(owned).toBeLessThan((KEY_COUNT / 31) * 1.5);
+        expect(owned).toBeGreaterThan(0);
+    });
+});
