--- a/test/failure/leavingCallers.test.ts
+++ b/test/failure/leavingCallers.test.ts
@@ -74,6 +74,14 @@
             target.arrivals.length = 0;
         });
     };
+    /** Sends a request on a new connection and leaves. */
+    const callAndLeave = (method: string, path: string): Promise<void> =>
+        callers.run([
+            { type: "connect", connection: 0 },
+            { type: "send", connection: 0, bytes: requestBytes(method, path) },
+            { type: "wait", ms: LEAVE_MS },
+            { type: "leave", connection: 0, by },
+        ]);
     const arrivals = (): TargetArrival[] => targets.flatMap(target => target.arrivals);
     const paths = (): string[] => arrivals().map(({ url }) => url);
 
@@ -143,12 +151,7 @@
             queueMicrotask(() => stall(STALL_MS));
             return sent;
         });
-        await callers.run([
-            { type: "connect", connection: 0 },
-            { type: "send", connection: 0, bytes: requestBytes("GET", "/read/left") },
-            { type: "wait", ms: LEAVE_MS },
-            { type: "leave", connection: 0, by },
-        ]);
+        await callAndLeave("GET", "/read/left");
         await pause(STALL_MS + GRACE_MS);
         expect(paths()).toEqual([]);
     });
@@ -159,12 +162,7 @@
             stall(STALL_MS);
         });
         await fillBudget("/read/filling");
-        await callers.run([
-            { type: "connect", connection: 0 },
-            { type: "send", connection: 0, bytes: requestBytes("GET", "/read/left") },
-            { type: "wait", ms: LEAVE_MS },
-            { type: "leave", connection: 0, by },
-        ]);
+        await callAndLeave("GET", "/read/left");
         await pause(STALL_MS + GRACE_MS);
         expect(paths()).toEqual(["/read/left"]);
     });
@@ -174,12 +172,7 @@
             setTimeout(() => arrival.answer({ status: 503, headers: ["X-Not-Executed: 1"] }), 3 * LEAVE_MS);
         });
         await fillBudget("/read/filling");
-        await callers.run([
-            { type: "connect", connection: 0 },
-            { type: "send", connection: 0, bytes: requestBytes("GET", "/read/left") },
-            { type: "wait", ms: LEAVE_MS },
-            { type: "leave", connection: 0, by },
-        ]);
+        await callAndLeave("GET", "/read/left");
         await pause(GRACE_MS);
         expect(paths()).toEqual(["/read/left"]);
     });
@@ -219,24 +212,14 @@
                 }
             };
         });
-        await callers.run([
-            { type: "connect", connection: 0 },
-            { type: "send", connection: 0, bytes: requestBytes("GET", "/keyed/left") },
-            { type: "wait", ms: LEAVE_MS },
-            { type: "leave", connection: 0, by },
-        ]);
+        await callAndLeave("GET", "/keyed/left");
         await pause(stallMs + GRACE_MS);
         expect(paths().filter(url => url === "/keyed/left")).toEqual(["/keyed/left"]);
     });
 
     it("ends the work of its target if the request can be repeated", async () => {
         await start(1, () => undefined);
-        await callers.run([
-            { type: "connect", connection: 0 },
-            { type: "send", connection: 0, bytes: requestBytes("GET", "/read/left") },
-            { type: "wait", ms: LEAVE_MS },
-            { type: "leave", connection: 0, by },
-        ]);
+        await callAndLeave("GET", "/read/left");
         await waitFor(() => arrivals().length === 1);
         await pause(GRACE_MS);
         expect(arrivals()[0].socket.destroyed).toBe(true);
@@ -244,12 +227,7 @@
 
     it("doesn't interrupt its target if the request can't be repeated", async () => {
         await start(1, () => undefined);
-        await callers.run([
-            { type: "connect", connection: 0 },
-            { type: "send", connection: 0, bytes: requestBytes("POST", "/order/left") },
-            { type: "wait", ms: LEAVE_MS },
-            { type: "leave", connection: 0, by },
-        ]);
+        await callAndLeave("POST", "/order/left");
         await waitFor(() => arrivals().length === 1);
         await pause(GRACE_MS);
         expect(arrivals()[0].socket.destroyed).toBe(false);
