--- a/src/process/gateway/limitAdmitter.ts
+++ b/src/process/gateway/limitAdmitter.ts
@@ -34,7 +34,7 @@
     constructor(private readonly clock: Clock) {}
 
     /**
-     * Decides about one request of an instance that knows of a limit.
+     * Decides about one request to a target with a limit.
      *
      * @param refused requests that the instance has refused by itself since it last asked
      */
@@ -73,7 +73,7 @@
         return bucket === undefined ? undefined : { perSecond: bucket.perSecond, isExceeded: bucket.isExceeded() };
     }
 
-    /** Forgets everything. Another instance may have admitted meanwhile, so buckets start empty. */
+    /** Drops all limits. Another instance may have admitted meanwhile, so buckets start empty. */
     clear(): void {
         this.limits.clear();
     }
--- a/src/process/gateway/limitBucket.ts
+++ b/src/process/gateway/limitBucket.ts
@@ -21,7 +21,7 @@
  * other admit no more than one. In a window of `t` seconds it admits at most `perSecond * t` requests and one burst, which is
  * `perSecond`, or 1 if that is more.
  *
- * Refused callers are told to return one after the other, because the limit couldn't serve them together.
+ * Refused callers get consecutive turns, because the limit couldn't serve them together.
  *
  * @example
  * const bucket = new LimitBucket(clock, 2);
--- a/src/process/gateway/limitMessage.ts
+++ b/src/process/gateway/limitMessage.ts
@@ -10,7 +10,7 @@
     /** Time since the target said so, in milliseconds. */
     ageMs: z.number().min(0),
 });
-/** What an instance knows of the limit of a target's process. */
+/** The limit of a target's process, as an instance has read it. */
 export type LimitKnowledge = z.infer<typeof limitKnowledgeSchema>;
 
 const limitMessageSchema = z.discriminatedUnion("type", [
