Refuse a request whose permit is read late (LIMIT)

A permit is to be used within 0.15 s of its question. After a stall of the asking instance the event loop may read the answer before the overdue timer fires, so the request was sent seconds after it had been admitted, beyond what the bucket's window covers. Found by reading; the test failed before. The permit now counts from the question.

--- a/src/process/gateway/__tests__/limitExchange.test.ts
+++ b/src/process/gateway/__tests__/limitExchange.test.ts
@@ -14,7 +14,18 @@
     const ended: number[] = [];
     let isAdmitting = true;
     let unanswered = 0;
-    const shared = { clock, unanswered: () => unanswered++, limitEnded: (_: unknown, at: number) => ended.push(at) };
+    let stalledMs = 0;
+    /** After a stall, the time has advanced but no timer has fired. */
+    const stallableClock = {
+        monotonicMs: () => clock.monotonicMs() + stalledMs,
+        wallMs: () => clock.wallMs() + stalledMs,
+        setTimer: (delayMs: number, callback: () => void) => clock.setTimer(delayMs, callback),
+    };
+    const shared = {
+        clock: stallableClock,
+        unanswered: () => unanswered++,
+        limitEnded: (_: unknown, at: number) => ended.push(at),
+    };
     const admitter = new LimitAdmitter(clock);
     const admitting = new LimitExchange({
         ...shared,
@@ -50,6 +61,7 @@
         ended,
         deliver,
         ask,
+        stallFor: (ms: number) => (stalledMs += ms),
         stopAdmitting: () => (isAdmitting = false),
         unanswered: () => unanswered,
     };
@@ -96,6 +108,17 @@
         expect(unanswered()).toBe(1);
     });
 
+    it("refuse the request if the answer is read late, though the timer has not fired", () => {
+        const { clock, deliver, ask, stallFor } = createPair();
+        ask();
+        deliver();
+        clock.advance(1_000);
+        const permits = ask();
+        stallFor(ANSWER_TIMEOUT_MS + 1);
+        deliver();
+        expect(permits).toMatchObject([{ type: "refused", result: "unanswered" }]);
+    });
+
     it("refuse the request if the asked instance doesn't admit any more", () => {
         const { deliver, ask, stopAdmitting } = createPair();
         stopAdmitting();
--- a/src/process/gateway/limitExchange.ts
+++ b/src/process/gateway/limitExchange.ts
@@ -138,7 +138,9 @@
         const settle = (answer: LimitAnswer | { type: "not-admitting" }) => {
             this.pending.delete(question);
             cancelTimer();
-            callback(this.applied(askedAt, knowledge, answer));
+            // After a stall an answer may be read before the overdue timer fires; the permit counts from the question.
+            const isLate = this.options.clock.monotonicMs() - askedAt > ANSWER_TIMEOUT_MS;
+            callback(this.applied(askedAt, knowledge, isLate ? { type: "not-admitting" } : answer));
         };
         const cancelTimer = this.options.clock.setTimer(ANSWER_TIMEOUT_MS, () => settle({ type: "not-admitting" }));
         this.pending.set(question, settle);
