Report the store's era with each of its answers

A store that is restored from a copy loses its latest writes and gives their versions out again. Its answers state how often that happened, but the client dropped their headers, so neither logs nor decisions could tell versions of the lost history from new ones. RowStore's results now carry the era; nothing depends on it yet. The in-memory store of the tests can be copied and restored.

--- a/src/process/gateway/rowStore.ts
+++ b/src/process/gateway/rowStore.ts
@@ -8,18 +8,28 @@
     version: number;
 }
 
+/**
+ * What every answer of the store says. The era increases each time the store is restored from an older copy, which loses the
+ * latest writes: versions then go back and are given out again, so versions of different eras can't be compared.
+ */
+export interface StoreAnswer {
+    era: number;
+}
+
 /** All rows of a table at one point in time. */
-export interface TableSnapshot {
+export interface TableSnapshot extends StoreAnswer {
     rows: StoredRow[];
     /** Version of the store at that point. */
     version: number;
 }
 
 /** Rows that changed after a version, in order. */
-export type TableChanges =
-    | { type: "changes"; rows: StoredRow[]; version: number }
-    /** The store no longer has the history since that version; read a snapshot. */
-    | { type: "history-lost" };
+export type TableChanges = StoreAnswer &
+    (
+        | { type: "changes"; rows: StoredRow[]; version: number }
+        /** The store no longer has the history since that version; read a snapshot. */
+        | { type: "history-lost" }
+    );
 
 /** A row named by a transaction. */
 export interface RowName {
@@ -35,12 +45,16 @@
     deletes?: RowName[];
 }
 
-export type TransactionOutcome =
-    /** `storeMs` is the store's monotonic clock in milliseconds. */
-    { type: "committed"; version: number; storeMs: number } | { type: "conflict" };
+/** The era is that in which the store has decided; the expected versions may be those of an earlier one. */
+export type TransactionOutcome = StoreAnswer &
+    (
+        | /** `storeMs` is the store's monotonic clock in milliseconds. */
+          { type: "committed"; version: number; storeMs: number }
+        | { type: "conflict" }
+    );
 
 /** A row, if it exists, with the store's monotonic clock in milliseconds at the read. */
-export interface RowReading {
+export interface RowReading extends StoreAnswer {
     row: StoredRow | undefined;
     storeMs: number;
 }
--- a/test/support/memoryRowStore.ts
+++ b/test/support/memoryRowStore.ts
@@ -4,6 +4,7 @@
     RowReading,
     RowStore,
     RowTransaction,
+    StoreAnswer,
     StoredRow,
     TableChanges,
     TableSnapshot,
@@ -17,6 +18,9 @@
 export class MemoryRowStore implements RowStore {
     private readonly tables = new Map<string, Map<string, StoredRow>>();
     private version = 0;
+    private era = 0;
+    /** Copies from which the store can be restored. */
+    private readonly copies: { version: number; tables: Map<string, Map<string, StoredRow>> }[] = [];
     /** The store's clock in milliseconds. */
     storeMs: () => number = () => performance.now();
     private readonly waiting = new Set<() => void>();
@@ -38,6 +42,35 @@
         this.rowsOf(table).set(key, { key, value: undefined, version: this.version });
     }
 
+    /** Makes a copy and returns its number. */
+    copy(): number {
+        const tables = new Map([...this.tables].map(([name, rows]) => [name, new Map(rows)]));
+        return this.copies.push({ version: this.version, tables }) - 1;
+    }
+
+    /** Goes back to a copy: what was written since is lost, and its versions are given out again. */
+    restore(copy: number): void {
+        const { version, tables } = this.copies[copy];
+        this.tables.clear();
+        tables.forEach((rows, name) => this.tables.set(name, new Map(rows)));
+        this.version = version;
+        this.era++;
+        queueMicrotask(() => this.waiting.forEach(wake => wake()));
+    }
+
+    /** Gives a row a version, as if it had been written then. */
+    setVersion(table: string, key: string, version: number): void {
+        const row = this.rowsOf(table).get(key);
+        if (row !== undefined) {
+            this.rowsOf(table).set(key, { ...row, version });
+        }
+    }
+
+    /** The latest version. */
+    get latestVersion(): number {
+        return this.version;
+    }
+
     read(table: string, key: string): unknown {
         const value = this.rowsOf(table).get(key)?.value;
         return value === undefined ? undefined : JSON.parse(value.toString());
@@ -62,10 +95,16 @@
             this.historyLost = false;
             return this.reply(() => ({ type: "history-lost" }));
         }
+        if (after > this.version) {
+            return this.reply(() => ({ type: "history-lost" }));
+        }
         const changed = () => [...this.rowsOf(table).values()].filter(({ version }) => version > after);
         if (changed().length === 0 && this.fault === undefined) {
             await this.waitForChange(waitMs);
         }
+        if (after > this.version) {
+            return this.reply(() => ({ type: "history-lost" }));
+        }
         const rows = changed();
         return this.reply(() => ({ type: "changes", rows, version: this.version }));
     }
@@ -119,14 +158,14 @@
         return rows;
     }
 
-    private reply<Value>(value: () => Value): Promise<Result<Value, PlatformError>> {
+    private reply<Value>(value: () => Value): Promise<Result<Value & StoreAnswer, PlatformError>> {
         switch (this.fault) {
             case "down":
                 return Promise.resolve(err({ type: "platform-unavailable", detail: "down" }));
             case "answer-lost":
                 return Promise.resolve(err({ type: "platform-unknown", detail: "no answer" }));
             default:
-                return Promise.resolve(ok(value()));
+                return Promise.resolve(ok({ ...value(), era: this.era }));
         }
     }
 }
