Report a lease as interrupted although its holder was suspended while acquiring it

An instance that acquired the lease from another holder, and whose machine was suspended between the write and its answer, remembered the version of that write. Its next write then looked like a renewal, so it went on with the grant records of its earlier term and took keys for free that the holder in between had granted (two owners). The new test failed on ("regained" instead of "gained"). Whether the lease was interrupted is now remembered until it is reported.

--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -146,4 +146,27 @@
         await advanceInSteps(clock, 100);
         expect(lease.isHeld()).toBe(true);
     });
+
+    it("isn't reported as continuous if the machine was suspended while it was acquired from another holder", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const { lease, steps } = createLease(store, clock, "a1");
+        lease.start();
+        await advanceInSteps(clock, 1_500);
+        store.put(LEASE_TABLE, LEASE_KEY, { instance: "a2", incarnation: "a2", renewal: 1 });
+        await advanceInSteps(clock, 3_000);
+        expect(lease.isHeld()).toBe(false);
+        const readStoreMs = store.storeMs;
+        const renewals = store.calls.transact;
+        store.storeMs = () => {
+            if (store.calls.transact === renewals + 1) {
+                clock.shiftWall(1_000);
+                store.storeMs = readStoreMs;
+            }
+            return readStoreMs();
+        };
+        await advanceInSteps(clock, 12_000);
+        expect(lease.isHeld()).toBe(true);
+        expect(steps).toEqual(["gained", "lost", "gained"]);
+    });
 });
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -66,6 +66,8 @@
     private storeTime: StoreTime | undefined;
     /** Version of the row when this process last held the lease. */
     private heldVersion: number | undefined;
+    /** Whether another process may have held the lease since `gained` was last called. */
+    private isInterrupted = false;
     private holderAddress: string | undefined;
     private disposed = false;
     private cancelTimer: TimerCancellation = () => undefined;
@@ -271,7 +273,7 @@
     }
 
     private hold(sentAt: number, offsetMs: number, expectedVersion: number): void {
-        const isContinuous = this.heldVersion !== undefined && this.heldVersion === expectedVersion;
+        this.isInterrupted ||= this.heldVersion === undefined || this.heldVersion !== expectedVersion;
         this.heldVersion = this.rowVersion;
         if (Math.abs(wallOffsetMs(this.options.clock) - offsetMs) > SUSPENSION_MS) {
             return;
@@ -282,7 +284,9 @@
         this.wallOffsetMs = offsetMs;
         this.heldUntil = sentAt + LEASE_MS;
         if (!this.isHolder) {
+            const isContinuous = !this.isInterrupted;
             this.isHolder = true;
+            this.isInterrupted = false;
             this.options.logger.info("The lease for assigning keys was gained.", {
                 version: this.rowVersion,
                 isContinuous,
