Assign keys by era of the store, so that a restored copy gives them no second owner

Cause: the assigner read the assignment's row of the copy as if it were the latest. Owners and tokens that were recorded after the copy was made were gone, so keys were taken as owned by their former owners, and tokens were given out again. The lease's row had the same fault: its version and time stood for continuity, and a conditional write could match a version that was given out twice.

Now - the lease has a row of its own in each era of the store, whose first write deletes earlier ones, so a delayed write of an earlier era matches no row; - the holder acquires the lease of the new era while its own lasts, and writes the assignment again from its memory; all others wait until any lease of an earlier era has expired; - an assigner that finds an assignment of an earlier era waits until all grants of earlier eras have ended, then gives its owners new tokens; - the tokens of each era are above all of earlier ones, whatever the store has lost. At the first start of the whole system, which the settings state, nothing is waited for.

GrantedTargets of the tests now records each violation, where it threw only for two owners, and the tests of the assigner fail on any.

--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
-import { AssignerLease, LEASE_KEY, LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
+import { AssignerLease, leaseKey, LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
 
 const createLease = (store: MemoryRowStore, clock: ManualClock, instance: string, incarnation = instance) => {
     const steps: string[] = [];
@@ -89,7 +89,7 @@
         store.fault = "down";
         await advanceInSteps(clock, LEASE_MS + 500);
         store.fault = undefined;
-        store.put(LEASE_TABLE, LEASE_KEY, { instance: "a2", incarnation: "a2", renewal: 1 });
+        store.put(LEASE_TABLE, leaseKey(0), { instance: "a2", incarnation: "a2", renewal: 1 });
         await advanceInSteps(clock, 15_000);
         expect(first.steps.slice(3)).toEqual(["lost", "gained"]);
     });
@@ -131,16 +131,16 @@
         const released = lease.release(() => new Promise<void>(resolve => (settle = resolve)));
         expect(lease.isHeld()).toBe(false);
         await advanceInSteps(clock, 100);
-        expect(store.read(LEASE_TABLE, LEASE_KEY)).toBeDefined();
+        expect(store.read(LEASE_TABLE, leaseKey(0))).toBeDefined();
         settle();
         await released;
-        expect(store.read(LEASE_TABLE, LEASE_KEY)).toBeUndefined();
+        expect(store.read(LEASE_TABLE, leaseKey(0))).toBeUndefined();
     });
 
     it("is acquired at once by the same instance after a restart", async () => {
         const store = new MemoryRowStore();
         const clock = new ManualClock();
-        store.put(LEASE_TABLE, LEASE_KEY, { instance: "a1", incarnation: "earlier", renewal: 9 });
+        store.put(LEASE_TABLE, leaseKey(0), { instance: "a1", incarnation: "earlier", renewal: 9 });
         const { lease } = createLease(store, clock, "a1", "later");
         lease.start();
         await advanceInSteps(clock, 100);
@@ -153,7 +153,7 @@
         const { lease, steps } = createLease(store, clock, "a1");
         lease.start();
         await advanceInSteps(clock, 1_500);
-        store.put(LEASE_TABLE, LEASE_KEY, { instance: "a2", incarnation: "a2", renewal: 1 });
+        store.put(LEASE_TABLE, leaseKey(0), { instance: "a2", incarnation: "a2", renewal: 1 });
         await advanceInSteps(clock, 3_000);
         expect(lease.isHeld()).toBe(false);
         const readStoreMs = store.storeMs;
--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -1,86 +1,15 @@
+import { GrantedTargets } from "../../../../test/support/grantedTargets.js";
 import { advanceInSteps } from "../../../../test/support/advanceInSteps.js";
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
-import { LEASE_KEY, LEASE_TABLE } from "../assignerLease.js";
+import { leaseKey, LEASE_TABLE } from "../assignerLease.js";
 import { ASSIGNMENT_TABLE, KeyAssigner } from "../keyAssigner.js";
 import { KEY_COUNT, type KeyAssignment } from "../keyMap.js";
-import type { CalledTarget, GrantReply, OwnershipCalls, ReleaseReply } from "../ownershipCalls.js";
 import type { DirectoryTarget } from "../targetDirectory.js";
 
 const HOLD_MS = 10_000;
 
-/** Stand-in for targets that keep granted keys like those of the bench. */
-class GrantedTargets implements OwnershipCalls {
-    /** Granted ranges with the time at which they expire, by address. */
-    readonly held = new Map<string, { from: number; to: number; fence: number; until: number }[]>();
-    readonly silent = new Set<string>();
-    readonly log: string[] = [];
-
-    constructor(private readonly clock: ManualClock) {}
-
-    grant(
-        { address }: CalledTarget,
-        grant: { from: number; to: number; fence: number; holdMs: number },
-    ): Promise<GrantReply> {
-        if (this.silent.has(address)) {
-            return Promise.resolve({ type: "unanswered", detail: "silent" });
-        }
-        if (this.grantDelayMs > 0) {
-            const arrivedAt = this.clock.monotonicMs();
-            this.clock.setTimer(this.grantDelayMs, () => this.apply(address, grant, arrivedAt));
-            return Promise.resolve({ type: "unanswered", detail: "delayed" });
-        }
-        return Promise.resolve(this.apply(address, grant, this.clock.monotonicMs()));
-    }
-
-    /** While this is above 0, grants get no answer and take effect after this delay in milliseconds. */
-    grantDelayMs = 0;
-    private readonly seenFences = new Map<string, { from: number; to: number; fence: number }[]>();
-
-    private apply(
-        address: string,
-        grant: { from: number; to: number; fence: number; holdMs: number },
-        arrivedAt: number,
-    ): GrantReply {
-        const seen = this.seenFences.get(address) ?? [];
-        if (seen.some(({ from, to, fence }) => from <= grant.to && grant.from <= to && fence > grant.fence)) {
-            return { type: "outdated" };
-        }
-        this.seenFences.set(address, [...seen, grant]);
-        this.log.push(`grant ${address} ${grant.from} ${grant.to} ${grant.fence}`);
-        const others = [...this.held].filter(([other]) => other !== address).flatMap(([, grants]) => grants);
-        const now = this.clock.monotonicMs();
-        const overlap = others.find(held => held.from <= grant.to && grant.from <= held.to && held.until > now);
-        if (overlap !== undefined) {
-            throw new Error(`two owners of ${grant.from} to ${grant.to} at ${now}`);
-        }
-        const kept = this.without(address, grant);
-        this.held.set(address, [...kept, { ...grant, until: arrivedAt + grant.holdMs }]);
-        return { type: "granted" };
-    }
-
-    release({ address }: CalledTarget, keys: { from: number; to: number; fence: number }): Promise<ReleaseReply> {
-        if (this.silent.has(address)) {
-            return Promise.resolve({ type: "unanswered", detail: "silent" });
-        }
-        this.log.push(`release ${address} ${keys.from} ${keys.to}`);
-        this.held.set(address, this.without(address, keys));
-        return Promise.resolve({ type: "released", handover: `state-${address}` });
-    }
-
-    private without(address: string, keys: { from: number; to: number }) {
-        return (this.held.get(address) ?? []).flatMap(held =>
-            held.to < keys.from || held.from > keys.to
-                ? [held]
-                : [
-                      { ...held, to: keys.from - 1 },
-                      { ...held, from: keys.to + 1 },
-                  ].filter(({ from, to }) => from <= to),
-        );
-    }
-}
-
 const listed = (id: string, startedAtMs = 1): DirectoryTarget => ({
     entry: {
         id,
@@ -97,13 +26,18 @@
     seenAt: 0,
 });
 
+/** The targets of the running test. */
+const usedTargets: GrantedTargets[] = [];
+
 const createFixture = async (ids: string[]) => {
     const store = new MemoryRowStore();
     const clock = new ManualClock();
-    store.put(LEASE_TABLE, LEASE_KEY, { instance: "a1", incarnation: "a1", renewal: 1 });
-    const leaseRow = (await store.row(LEASE_TABLE, LEASE_KEY))._unsafeUnwrap();
-    const lease = { held: true, isHeld: () => lease.held, version: leaseRow.row?.version ?? 0 };
+    store.put(LEASE_TABLE, leaseKey(0), { instance: "a1", incarnation: "a1", renewal: 1 });
+    const leaseRow = (await store.row(LEASE_TABLE, leaseKey(0)))._unsafeUnwrap();
+    const row = { table: LEASE_TABLE, key: leaseKey(0), version: leaseRow.row?.version ?? 0 };
+    const lease = { held: true, isHeld: () => lease.held, proof: { era: 0, row }, earlierGrantsEndAt: () => -Infinity };
     const calls = new GrantedTargets(clock);
+    usedTargets.push(calls);
     let targets = ids.map(id => listed(id));
     const others: DirectoryTarget[] = [];
     const create = () =>
@@ -138,6 +72,10 @@
 };
 
 describe("KeyAssigner", () => {
+    afterEach(() => {
+        expect(usedTargets.splice(0).flatMap(({ violations }) => violations)).toEqual([]);
+    });
+
     it("assigns all keys once the targets have registered", async () => {
         const fixture = await createFixture(["t1", "t2"]);
         void fixture.create().start();
@@ -163,7 +101,7 @@
         await advanceInSteps(fixture.clock, 5_000);
         fixture.calls.silent.add("t1:80");
         fixture.setTargets(fixture.targets().slice(1));
-        // GrantedTargets throws when keys are granted while the silent target still holds them.
+        // `afterEach` fails when keys are granted while the silent target still holds them.
         await advanceInSteps(fixture.clock, HOLD_MS - 2_000);
         expect(fixture.owners()).toEqual(new Set(["t1", "t2"]));
         await advanceInSteps(fixture.clock, 7_000);
@@ -180,7 +118,7 @@
         const [first, second] = fixture.targets();
         first.entry = { ...first.entry, draining: true };
         first.usable = false;
-        // GrantedTargets throws when a late renewal grants the first target keys that the second one holds.
+        // `afterEach` fails when a late renewal grants the first target keys that the second one holds.
         await advanceInSteps(fixture.clock, 8_000);
         expect(fixture.owners()).toEqual(new Set([second.entry.id]));
     });
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -3,11 +3,19 @@
 import type { Logger } from "../observability/logger.js";
 import { parseJson } from "../runtime/parseJson.js";
 import { SUSPENSION_MS, wallOffsetMs } from "../runtime/wallOffset.js";
-import type { RowStore } from "./rowStore.js";
+import { GrantRecord } from "./grantRecord.js";
+import type { RowName, RowStore } from "./rowStore.js";
 
 /** Table of the lease. It has no other rows, so that renewals don't wake the followers of other tables. */
 export const LEASE_TABLE = "sassafrasloom-lease";
-export const LEASE_KEY = "assigner";
+/**
+ * Key of the lease's row in an era of the store. Each era has a row of its own, whose first write deletes those of earlier
+ * eras, so a write that expects a row of an earlier era can't succeed by a version that was given out again.
+ *
+ * @example
+ * leaseKey(3); // "assigner-3"
+ */
+export const leaseKey = (era: number): string => `assigner-${era}`;
 /** Duration of the lease after a write, in milliseconds. Several renewals may fail within it. */
 export const LEASE_MS = 3_500;
 /** Interval between renewals, in milliseconds. */
@@ -23,6 +31,8 @@
 const FAILURE_PAUSE_MS = 250;
 /** Relative clock drift allowed for while waiting for another instance's lease to expire. */
 const CLOCK_DRIFT = 0.02;
+/** Time without a change after which another instance's lease has expired, in milliseconds. */
+const EXPIRY_MS = LEASE_MS * (1 + CLOCK_DRIFT);
 
 const leaseSchema = z.object({
     instance: z.string(),
@@ -35,6 +45,13 @@
 });
 type Lease = z.infer<typeof leaseSchema>;
 
+/** The row that proves the lease; transactions of its holder expect it. */
+export interface LeaseProof {
+    /** Era of the store in which the lease was acquired. */
+    era: number;
+    row: RowName & { version: number };
+}
+
 /** A reading of the store's clock; the store read it at or after the monotonic time `at` of this process. */
 interface StoreTime {
     storeMs: number;
@@ -51,12 +68,19 @@
  * A monotonic clock may stop while a machine is suspended, so the holder treats the lease as expired until the next renewal
  * when the wall clock has shifted against it.
  *
+ * When the store is restored from a copy, the row in it may be older than the lease in force. The holder acquires the lease
+ * of the new era while its lease of the earlier one lasts; all other instances wait until any earlier lease has expired.
+ *
  * @example
  * const lease = new AssignerLease({ store, instance, incarnation, clock, logger, gained });
  * lease.start();
  * lease.isHeld();
  */
 export class AssignerLease {
+    /** Era of the store in which the row was read. */
+    private era: number | undefined;
+    /** Monotonic time in milliseconds from which no instance holds a lease of an earlier era. */
+    private earlierErasEndAt = -Infinity;
     private rowVersion: number | undefined;
     private rowSeenAt = 0;
     private heldUntil = -Infinity;
@@ -68,6 +92,8 @@
     private heldVersion: number | undefined;
     /** Whether another process may have held the lease since `gained` was last called. */
     private isInterrupted = false;
+    /** Era in which `gained` was last called. */
+    private gainedEra: number | undefined;
     private holderAddress: string | undefined;
     private disposed = false;
     private cancelTimer: TimerCancellation = () => undefined;
@@ -86,8 +112,11 @@
             peerAddress?: string;
             clock: Clock;
             logger: Logger;
+            /** Whether the whole system starts for the first time, so that no instance has held a lease before. */
+            isFirstStart?: boolean;
             /**
-             * Called after the lease was acquired; `isContinuous` if no other process has held it since this one last did.
+             * Called after the lease was acquired, also in another era of the store; `isContinuous` if no other process has
+             * held it since this one last did.
              */
             gained: (isContinuous: boolean) => void;
             /** Called after this process has lost the lease, which it may acquire again. */
@@ -113,9 +142,22 @@
         return this.isHolder ? undefined : this.holderAddress;
     }
 
-    /** Version of the lease's row; the holder's transactions expect it. */
-    get version(): number {
-        return this.rowVersion ?? 0;
+    /**
+     * The proof that this instance holds the lease in the current era. It is missing between a restore of the store and the
+     * acquisition in the new era, although the lease of the earlier one may still be held.
+     */
+    get proof(): LeaseProof | undefined {
+        return this.era === undefined || this.heldVersion === undefined || !this.isHeld()
+            ? undefined
+            : { era: this.era, row: { ...this.rowName(this.era), version: this.rowVersion ?? 0 } };
+    }
+
+    /**
+     * Upper bound of the monotonic time in milliseconds at which grants that were made under leases of earlier eras end.
+     * `-Infinity` if there are none.
+     */
+    earlierGrantsEndAt(holdMs: number): number {
+        return new GrantRecord(this.earlierErasEndAt, holdMs).endsAt();
     }
 
     start(): void {
@@ -143,9 +185,12 @@
             return;
         }
         await settled();
-        const name = { table: LEASE_TABLE, key: LEASE_KEY };
+        if (this.era === undefined) {
+            return;
+        }
+        const name = this.rowName(this.era);
         const deleted = await this.options.store.transact({
-            expected: [{ ...name, version: this.version }],
+            expected: [{ ...name, version: this.rowVersion ?? 0 }],
             puts: [],
             deletes: [name],
         });
@@ -176,11 +221,14 @@
         const { store, clock, instance } = this.options;
         const sentAt = clock.monotonicMs();
         this.watchedAt = sentAt;
-        const reading = await store.row(LEASE_TABLE, LEASE_KEY);
+        const reading = await store.row(LEASE_TABLE, leaseKey(this.era ?? 0));
         if (reading.isErr()) {
             return FAILURE_PAUSE_MS * 2;
         }
-        const { row, storeMs } = reading.value;
+        const { row, storeMs, era } = reading.value;
+        if (era !== this.era) {
+            return this.enterEra(era);
+        }
         this.recordStoreTime(storeMs, sentAt);
         const now = clock.monotonicMs();
         const lease = row?.value === undefined ? undefined : this.parse(row.value);
@@ -189,12 +237,19 @@
             this.rowVersion = row?.version ?? 0;
             this.rowSeenAt = now;
         }
+        if (lease === undefined) {
+            if (now < this.earlierErasEndAt) {
+                return this.earlierErasEndAt - now;
+            }
+            this.holderAddress = undefined;
+            return this.write();
+        }
         // Only one process at a time runs under an instance's name, so an earlier one with this name has ended.
-        const isFree = lease === undefined || lease.instance === instance;
+        const isFree = lease.instance === instance;
         this.holderAddress = isFree ? undefined : lease.peerAddress;
         const seenMs = now - this.rowSeenAt;
-        const writtenAgoMs = lease?.writtenMs === undefined ? 0 : storeMs - lease.writtenMs;
-        if (isFree || Math.max(seenMs, writtenAgoMs) > LEASE_MS * (1 + CLOCK_DRIFT)) {
+        const writtenAgoMs = lease.writtenMs === undefined ? 0 : storeMs - lease.writtenMs;
+        if (isFree || Math.max(seenMs, writtenAgoMs) > EXPIRY_MS) {
             return this.write();
         }
         return WATCH_MS * (0.9 + 0.2 * (this.options.random ?? Math.random)());
@@ -202,17 +257,27 @@
 
     private async write(): Promise<number> {
         const { store, clock, instance, incarnation } = this.options;
+        const { era = 0 } = this;
+        const earlierRows = this.rowVersion === 0 ? await this.rowsOfEarlierEras(era) : [];
+        if (earlierRows === undefined) {
+            this.checkLost();
+            return FAILURE_PAUSE_MS;
+        }
         const sentAt = clock.monotonicMs();
         const offsetMs = wallOffsetMs(this.options.clock);
         const writtenMs = this.storeMsAtLatest(sentAt, offsetMs);
         const { peerAddress } = this.options;
         const lease: Lease = { instance, incarnation, renewal: ++this.renewal, writtenMs, peerAddress };
-        const name = { table: LEASE_TABLE, key: LEASE_KEY };
-        const expectedVersion = this.version;
+        const name = this.rowName(era);
+        const expectedVersion = this.rowVersion ?? 0;
         const written = await store.transact({
-            expected: [{ ...name, version: expectedVersion }],
+            expected: [{ ...name, version: expectedVersion }, ...earlierRows],
             puts: [{ ...name, value: Buffer.from(JSON.stringify(lease)) }],
+            deletes: earlierRows.map(({ table, key }) => ({ table, key })),
         });
+        if (written.isOk() && written.value.era !== era) {
+            return this.enterEra(written.value.era);
+        }
         if (written.isOk() && written.value.type === "committed") {
             this.recordStoreTime(written.value.storeMs, sentAt);
             this.rowVersion = written.value.version;
@@ -229,12 +294,15 @@
     /** Reads the row after a conflict, which an earlier write of this process without an answer may have caused. */
     private async readBack(): Promise<number> {
         const { store, incarnation, logger } = this.options;
-        const reading = await store.row(LEASE_TABLE, LEASE_KEY);
+        const reading = await store.row(LEASE_TABLE, leaseKey(this.era ?? 0));
         if (reading.isErr()) {
             this.checkLost();
             return FAILURE_PAUSE_MS;
         }
-        const { row } = reading.value;
+        const { row, era } = reading.value;
+        if (era !== this.era) {
+            return this.enterEra(era);
+        }
         const lease = row?.value === undefined ? undefined : this.parse(row.value);
         if (lease?.incarnation === incarnation) {
             // The time of the earlier write is unknown, so it doesn't extend the lease; another write does.
@@ -252,11 +320,62 @@
 
     /** Keeps the lease continuous across a write of this process that was applied although its answer was lost. */
     private adoptLateWrite(lease: Lease | undefined, version: number | undefined): void {
-        if (lease?.incarnation === this.options.incarnation && this.heldVersion === this.rowVersion) {
+        if (lease?.incarnation === this.options.incarnation && this.isContinuousAfter(this.rowVersion ?? 0)) {
             this.heldVersion = version;
         }
     }
 
+    /**
+     * Whether no other instance has held the lease since this one did, if the row has only changed from this version by its
+     * own write. The first row of an era is continuous with a lease of the earlier one that is still held, as no other
+     * instance acquires the lease before that one has expired.
+     */
+    private isContinuousAfter(version: number): boolean {
+        return this.heldVersion === undefined ? version === 0 && this.isHeld() : this.heldVersion === version;
+    }
+
+    private rowName(era: number): RowName {
+        return { table: LEASE_TABLE, key: leaseKey(era) };
+    }
+
+    /** Reads the rows of earlier eras, which the copy from which the store was restored may contain. */
+    private async rowsOfEarlierEras(era: number): Promise<LeaseProof["row"][] | undefined> {
+        const snapshot = await this.options.store.snapshot(LEASE_TABLE);
+        if (snapshot.isErr() || snapshot.value.era !== era) {
+            return undefined;
+        }
+        const { key: ownKey } = this.rowName(era);
+        return snapshot.value.rows
+            .filter(({ key }) => key !== ownKey)
+            .map(({ key, version }) => ({ table: LEASE_TABLE, key, version }));
+    }
+
+    /**
+     * Starts anew with the row of another era. A lease of the earlier era is held until it expires. Returns the pause until
+     * the next step.
+     */
+    private enterEra(era: number): number {
+        const { clock, logger, isFirstStart = false } = this.options;
+        const { era: earlier } = this;
+        if (earlier !== undefined && era < earlier) {
+            return FAILURE_PAUSE_MS;
+        }
+        const isFirst = earlier === undefined;
+        const isHeld = this.isHeld();
+        // A store that was never restored has no earlier eras.
+        const hasEarlierLeases = era > 0 && !(isFirst && isFirstStart);
+        this.era = era;
+        this.earlierErasEndAt = hasEarlierLeases ? clock.monotonicMs() + EXPIRY_MS : -Infinity;
+        this.rowVersion = isFirst ? undefined : 0;
+        this.heldVersion = undefined;
+        this.storeTime = undefined;
+        if (!isFirst) {
+            logger.warn("The store was restored from a copy.", { era, isLeaseHeld: isHeld });
+            this.checkLost();
+        }
+        return 0;
+    }
+
     /** Records the store's clock from the answer to a call that was sent at `sentAt`. */
     private recordStoreTime(storeMs: number, sentAt: number): void {
         // The store read its clock before the answer arrived, but not before the call was sent.
@@ -273,7 +392,7 @@
     }
 
     private hold(sentAt: number, offsetMs: number, expectedVersion: number): void {
-        this.isInterrupted ||= this.heldVersion === undefined || this.heldVersion !== expectedVersion;
+        this.isInterrupted ||= !this.isContinuousAfter(expectedVersion);
         this.heldVersion = this.rowVersion;
         if (Math.abs(wallOffsetMs(this.options.clock) - offsetMs) > SUSPENSION_MS) {
             return;
@@ -283,11 +402,13 @@
         }
         this.wallOffsetMs = offsetMs;
         this.heldUntil = sentAt + LEASE_MS;
-        if (!this.isHolder) {
+        if (!this.isHolder || this.gainedEra !== this.era) {
             const isContinuous = !this.isInterrupted;
             this.isHolder = true;
             this.isInterrupted = false;
+            this.gainedEra = this.era;
             this.options.logger.info("The lease for assigning keys was gained.", {
+                era: this.era,
                 version: this.rowVersion,
                 isContinuous,
             });
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -80,6 +80,8 @@
     maxHoldMs: number;
     /** Limit on the retries of all instances together. */
     retryLimit: RetryLimit;
+    /** Whether the whole system starts for the first time, so that no target holds keys yet. */
+    isFirstStart?: boolean;
     platform: GatewayPlatform;
     clock: Clock;
     loggers: (part: LogPart) => Logger;
@@ -220,6 +222,7 @@
             load: this.load,
             admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
+            isFirstStart: options.isFirstStart,
         });
         this.log = new RequestLog({
             clock,
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -1,7 +1,8 @@
 import { repeat, type Clock } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
 import type { Logger } from "../observability/logger.js";
-import { LEASE_KEY, LEASE_TABLE } from "./assignerLease.js";
+import type { LeaseProof } from "./assignerLease.js";
+import { eraOfToken, nextToken } from "./fencingTokens.js";
 import { DEFAULT_HOLD_MS, GrantRecord } from "./grantRecord.js";
 import {
     decodeAssignment,
@@ -9,6 +10,7 @@
     KEY_COUNT,
     overlaps,
     replaceRange,
+    unownedRange,
     withoutRanges,
     type KeyAssignment,
     type KeyRange,
@@ -62,7 +64,8 @@
 }
 
 interface QueuedChange {
-    range: Omit<KeyRange, "fence">;
+    /** Changes the ranges; `fence` is the fencing token of the transaction. */
+    apply: (ranges: KeyRange[], fence: number) => KeyRange[];
     settle: (fence: number | undefined) => void;
 }
 
@@ -79,7 +82,13 @@
  */
 export class KeyAssigner {
     private assignment: KeyAssignment;
+    /** Version of the row, and the era of the store to which it belongs. */
     private rowVersion = 0;
+    private era = 0;
+    /** Latest era of the store in which the row is known to contain this assignment. */
+    private storedEra = -1;
+    /** Monotonic time in milliseconds at which all grants of other instances in earlier eras of the store have ended. */
+    private readonly earlierGrantsEndAt: number;
     private isLoaded = false;
     private readonly tracked = new Map<string, TrackedTarget>();
     private readonly moving = new Set<KeyMove>();
@@ -100,8 +109,13 @@
             calls: OwnershipCalls;
             clock: Clock;
             logger: Logger;
-            /** Version of the lease's row while this instance holds the lease. */
-            lease: { isHeld(): boolean; version: number };
+            lease: {
+                isHeld(): boolean;
+                /** The lease's row in the current era of the store; missing until the lease was acquired in it. */
+                proof: LeaseProof | undefined;
+                /** Monotonic time in milliseconds at which all grants made in earlier eras of the store end. */
+                earlierGrantsEndAt(holdMs: number): number;
+            };
             /** Registered targets of the service. */
             targets: () => DirectoryTarget[];
             /** Targets of all services, since a target of another service may now have the address of an owner. */
@@ -119,11 +133,12 @@
         this.assignment = emptyAssignment(options.service);
         this.startedAt = options.clock.monotonicMs();
         this.balancedAt = this.startedAt + BALANCE_DELAY_MS;
+        this.earlierGrantsEndAt = options.lease.earlierGrantsEndAt(options.holdMs ?? DEFAULT_HOLD_MS);
     }
 
     /** Reads the stored assignment of the previous assigner, then starts planning moves and renewing grants. */
     async start(): Promise<void> {
-        while (!this.disposed && !(await this.load())) {
+        while (!this.disposed && !(await this.takeOver())) {
             await this.pause(REPEAT_PAUSE_MS);
         }
         if (this.disposed) {
@@ -159,21 +174,64 @@
     }
 
     /**
-     * Resumes after this instance lost the lease for a while and no other instance held it. The grant records are still
-     * valid, but a transaction with an unknown outcome may have been committed.
+     * Resumes after this instance lost the lease for a while, or after the store was restored from a copy, if no other
+     * instance held the lease in between. The grant records are still valid. In the same era of the store, a transaction with
+     * an unknown outcome may have been committed, so the row is read; in a new one the row is out of date and is written
+     * again.
      */
     async resume(): Promise<void> {
-        if (this.isLoaded) {
+        if (!this.isLoaded) {
+            return;
+        }
+        if (this.options.lease.proof?.era === this.storedEra) {
             await this.load();
-            this.renewAll();
+        } else {
+            await this.commit(ranges => ranges);
         }
+        this.renewAll();
+    }
+
+    /**
+     * Reads the assignment of the previous assigner; `false` if it can't be used yet. An assignment of an earlier era of the
+     * store may lack owners that were recorded after the copy was made. It is a mere proposal once all grants of earlier eras
+     * have ended, and its owners get new fencing tokens.
+     */
+    private async takeOver(): Promise<boolean> {
+        const { clock, logger, service } = this.options;
+        if (!(await this.load())) {
+            return false;
+        }
+        if (eraOfToken(this.assignment.fence) >= this.era) {
+            return true;
+        }
+        const waitMs = this.earlierGrantsEndAt - clock.monotonicMs();
+        if (waitMs > 0) {
+            logger.warn("The stored assignment may be out of date; waiting until all earlier grants have ended.", {
+                service,
+                era: this.era,
+                waitMs: Math.ceil(waitMs),
+            });
+            await this.pause(waitMs);
+            return false;
+        }
+        if (this.assignment.ranges.every(({ target }) => target === "")) {
+            return true;
+        }
+        const listed = new Set(this.options.targets().map(({ entry }) => this.identity(entry.id, entry.startedAtMs)));
+        const isListed = ({ target, startedAtMs }: KeyRange) => listed.has(this.identity(target, startedAtMs));
+        const fence = await this.commit((ranges, fence) =>
+            ranges.map(range =>
+                isListed(range) ? { ...range, fence, handover: undefined } : unownedRange(range.from, range.to),
+            ),
+        );
+        return fence !== undefined;
     }
 
     /** Reads the assignment's row; `false` if that failed. */
     private async load(): Promise<boolean> {
-        const { store, service, logger } = this.options;
+        const { store, service, lease, logger } = this.options;
         const reading = await store.row(ASSIGNMENT_TABLE, service);
-        if (reading.isErr()) {
+        if (reading.isErr() || reading.value.era !== lease.proof?.era) {
             return false;
         }
         const { row } = reading.value;
@@ -186,6 +244,8 @@
             this.assignment = assignment;
         }
         this.rowVersion = row?.version ?? 0;
+        this.era = reading.value.era;
+        this.storedEra = this.era;
         logger.info("Assigning keys.", {
             service,
             ranges: this.assignment.ranges.length,
@@ -388,7 +448,7 @@
             }
             const { id, startedAtMs, address } = receiver.listed.entry;
             const range = { from, to, target: id, startedAtMs, address, handover: reclaimed.handover };
-            const fence = await this.commit(range);
+            const fence = await this.commitOwner(range);
             if (fence === undefined) {
                 logger.info(`${keys} stay with ${piece.target || "no owner"}.`, { cause: "not committed" });
                 return;
@@ -454,7 +514,7 @@
         owner: TrackedTarget,
         range: KeyRange,
     ): Promise<{ fence: number; isAnswered: boolean } | undefined> {
-        const fence = await this.commit(range);
+        const fence = await this.commitOwner(range);
         if (fence === undefined) {
             return undefined;
         }
@@ -472,12 +532,17 @@
             : now >= owner.grants.endsAt();
     }
 
+    /** Records an owner in the store. */
+    private commitOwner(range: Omit<KeyRange, "fence">): Promise<number | undefined> {
+        return this.commit((ranges, fence) => replaceRange(ranges, { ...range, fence }));
+    }
+
     /**
-     * Records an owner in the store; resolves to the fencing token, or to `undefined` if that failed, as without the lease.
+     * Records a change in the store; resolves to its fencing token, or to `undefined` if that failed, as without the lease.
      */
-    private commit(range: Omit<KeyRange, "fence">): Promise<number | undefined> {
+    private commit(apply: QueuedChange["apply"]): Promise<number | undefined> {
         return new Promise(settle => {
-            this.queue.push({ range, settle });
+            this.queue.push({ apply, settle });
             void this.commitQueued();
         });
     }
@@ -491,11 +556,9 @@
         await this.pause(COMMIT_LINGER_MS);
         while (this.queue.length > 0 && !this.disposed) {
             const batch = this.queue.splice(0);
-            const fence = this.assignment.fence + 1;
-            const ranges = batch.reduce(
-                (result, { range }) => replaceRange(result, { ...range, fence }),
-                this.assignment.ranges,
-            );
+            const era = this.options.lease.proof?.era ?? this.era;
+            const fence = nextToken(this.assignment.fence, era);
+            const ranges = batch.reduce((result, { apply }) => apply(result, fence), this.assignment.ranges);
             const next: KeyAssignment = { ...this.assignment, fence, ranges };
             const isCommitted = await this.write(next);
             if (isCommitted) {
@@ -507,30 +570,34 @@
     }
 
     /**
-     * Retries writing the row until the outcome is known. The transaction also expects the version of the lease's row, so
-     * that a former assigner can't write.
+     * Retries writing the row until the outcome is known. The transaction also expects the lease's row, so that a former
+     * assigner can't write. What was written in an earlier era of the store may be lost, so it is written again.
      */
     private async write(next: KeyAssignment): Promise<boolean> {
         const { store, service, lease, logger } = this.options;
         const name = { table: ASSIGNMENT_TABLE, key: service };
         const value = Buffer.from(JSON.stringify(next));
         while (!this.disposed && lease.isHeld()) {
+            const { proof } = lease;
+            if (proof === undefined || !(await this.enterEra(proof.era))) {
+                await this.pause(REPEAT_PAUSE_MS);
+                continue;
+            }
             const written = await store.transact({
-                expected: [
-                    { ...name, version: this.rowVersion },
-                    { table: LEASE_TABLE, key: LEASE_KEY, version: lease.version },
-                ],
+                expected: [{ ...name, version: this.rowVersion }, proof.row],
                 puts: [{ ...name, value }],
             });
-            if (written.isOk() && written.value.type === "committed") {
+            if (written.isOk() && written.value.era === proof.era && written.value.type === "committed") {
                 this.rowVersion = written.value.version;
+                this.storedEra = proof.era;
                 return true;
             }
             const reading = await store.row(ASSIGNMENT_TABLE, service);
-            const row = reading.isOk() ? reading.value.row : undefined;
+            const row = reading.isOk() && reading.value.era === proof.era ? reading.value.row : undefined;
             if (row !== undefined && row.version !== this.rowVersion) {
                 if (row.value?.equals(value) === true) {
                     this.rowVersion = row.version;
+                    this.storedEra = proof.era;
                     return true;
                 }
                 logger.warn("The assignment has changed meanwhile; it is read anew.", {
@@ -545,6 +612,23 @@
         return false;
     }
 
+    /**
+     * Reads the row's version in another era of the store; `false` if that failed. The row's content is that of the copy and
+     * out of date, as this instance has held the lease since.
+     */
+    private async enterEra(era: number): Promise<boolean> {
+        if (era === this.era) {
+            return true;
+        }
+        const reading = await this.options.store.row(ASSIGNMENT_TABLE, this.options.service);
+        if (reading.isErr() || reading.value.era !== era) {
+            return false;
+        }
+        this.rowVersion = reading.value.row?.version ?? 0;
+        this.era = era;
+        return true;
+    }
+
     private async grantUntilAnswered(receiver: TrackedTarget, range: KeyRange): Promise<void> {
         while (!this.disposed && !receiver.ended && this.options.lease.isHeld() && receiver.listed.usable) {
             if (await this.grant(receiver, range)) {
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -34,14 +34,16 @@
             clock: Clock;
             logger: Logger;
             targets: GatewayTargets;
-            load: SharedLoad;
+            load: Pick<SharedLoad, "weights">;
+            /** Whether the whole system starts for the first time. */
+            isFirstStart?: boolean;
             /** Admits requests to targets with limits while this instance holds the lease. */
             admitter: LimitAdmitter;
             /** Maximum time for which targets may be granted keys, in milliseconds. */
             maxHoldMs: number;
         },
     ) {
-        const { store, instance, peerAddress, clock, logger } = options;
+        const { store, instance, peerAddress, clock, logger, isFirstStart } = options;
         this.lease = new AssignerLease({
             store,
             instance,
@@ -49,6 +51,7 @@
             peerAddress,
             clock,
             logger,
+            isFirstStart,
             gained: isContinuous => {
                 if (isContinuous) {
                     this.assigners.forEach(assigner => void assigner.resume());
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -145,9 +145,24 @@
         [range],
     );
 
+/**
+ * A range of keys that have no owner.
+ *
+ * @example
+ * unownedRange(0, 99); // { from: 0, to: 99, target: "", ... }
+ */
+export const unownedRange = (from: number, to: number): KeyRange => ({
+    from,
+    to,
+    target: "",
+    startedAtMs: 0,
+    address: "",
+    fence: 0,
+});
+
 /** An assignment in which no key has an owner. */
 export const emptyAssignment = (service: string): KeyAssignment => ({
     service,
     fence: 0,
-    ranges: [{ from: 0, to: KEY_COUNT - 1, target: "", startedAtMs: 0, address: "", fence: 0 }],
+    ranges: [unownedRange(0, KEY_COUNT - 1)],
 });
--- /dev/null
+++ b/test/support/assigningInstances.ts
@@ -0,0 +1,151 @@
+import { err, type Result } from "neverthrow";
+import { GatewayTargets } from "../../src/process/gateway/gatewayTargets.js";
+import { KeyAssigners } from "../../src/process/gateway/keyAssigners.js";
+import { KEY_COUNT, decodeAssignment, type KeyAssignment } from "../../src/process/gateway/keyMap.js";
+import { ASSIGNMENT_TABLE } from "../../src/process/gateway/keyAssigner.js";
+import { LimitAdmitter } from "../../src/process/gateway/limitAdmitter.js";
+import type { RowStore } from "../../src/process/gateway/rowStore.js";
+import type { TargetEntry } from "../../src/process/gateway/targetEntry.js";
+import type { PlatformError } from "../../src/process/store/platformError.js";
+import { advanceInSteps } from "./advanceInSteps.js";
+import { GrantedTargets } from "./grantedTargets.js";
+import { ManualClock } from "./manualClock.js";
+import { MemoryRowStore } from "./memoryRowStore.js";
+import { SILENT_LOGGER } from "./silentLogger.js";
+
+export const SERVICE = "stock";
+
+/** An instance that may assign keys. */
+export interface AssigningInstance {
+    name: string;
+    assigners: KeyAssigners;
+    /** Whether its calls to the store get no answer. */
+    isCut: boolean;
+    /** Its writes are carried out, but only when these are called. */
+    heldWrites: (() => void)[];
+    /** Whether its writes are held back. */
+    holdsWrites: boolean;
+    dispose: () => void;
+}
+
+const entryOf = (id: string, startedAtMs: number): TargetEntry => ({
+    id,
+    service: SERVICE,
+    address: `${id}:80`,
+    domain: "linz",
+    slots: 6,
+    draining: false,
+    warmupLeftMs: 0,
+    startedAtMs,
+});
+
+/** Instances that assign the keys of one service with the real lease, in virtual time, on one store. */
+export class AssigningInstances {
+    readonly store = new MemoryRowStore();
+    readonly clock = new ManualClock();
+    readonly calls = new GrantedTargets(this.clock);
+    readonly instances: AssigningInstance[] = [];
+    readonly entries = new Map<string, TargetEntry>();
+
+    constructor(targets: string[]) {
+        this.store.storeMs = () => this.clock.monotonicMs() + 5_000_000;
+        targets.forEach(id => this.entries.set(id, entryOf(id, 1)));
+    }
+
+    /** Starts an instance. */
+    start(name: string): AssigningInstance {
+        const { clock } = this;
+        const targets = new GatewayTargets({
+            clock,
+            logger: SILENT_LOGGER,
+            domain: "linz",
+            decode: () => undefined,
+            connectionLimit: () => undefined,
+            gone: () => undefined,
+            graceMs: 1_000,
+        });
+        this.entries.forEach(entry => targets.directory.put(entry));
+        const faults = { isCut: false, holdsWrites: false, heldWrites: [] as (() => void)[] };
+        const assigners = new KeyAssigners({
+            instance: name,
+            peerAddress: undefined,
+            store: this.storeOf(faults),
+            calls: this.calls,
+            clock,
+            logger: SILENT_LOGGER,
+            targets,
+            load: { weights: () => new Float64Array(KEY_COUNT).fill(1) },
+            admitter: new LimitAdmitter(clock),
+            maxHoldMs: 10_000,
+        });
+        const instance = Object.assign(faults, {
+            name,
+            assigners,
+            targets,
+            dispose: () => {
+                assigners.dispose();
+                this.instances.splice(this.instances.indexOf(instance), 1);
+            },
+        });
+        this.instances.push(instance);
+        this.directories.set(instance, targets);
+        assigners.update([{ name: SERVICE, keyed: true, connectionLimit: 100 }]);
+        assigners.start();
+        return instance;
+    }
+
+    private readonly directories = new Map<AssigningInstance, GatewayTargets>();
+
+    /** Adds or changes a target's entry at all instances. */
+    putTarget(id: string, change: Partial<TargetEntry> = {}): void {
+        const entry = { ...(this.entries.get(id) ?? entryOf(id, 1)), ...change };
+        this.entries.set(id, entry);
+        this.instances.forEach(instance => this.directories.get(instance)?.directory.put(entry));
+    }
+
+    /** The stored assignment. */
+    get assignment(): KeyAssignment | undefined {
+        const stored = this.store.read(ASSIGNMENT_TABLE, SERVICE);
+        return stored === undefined ? undefined : decodeAssignment(Buffer.from(JSON.stringify(stored)));
+    }
+
+    /** Instances that hold the lease. */
+    holders(): AssigningInstance[] {
+        return this.instances.filter(({ assigners }) => assigners.lease.isHeld());
+    }
+
+    /** Share of the keys that a target holds now. */
+    heldShare(): number {
+        const now = this.clock.monotonicMs();
+        const held = [...this.calls.held.values()].flat().filter(({ until }) => until > now);
+        return held.reduce((sum, { from, to }) => sum + to - from + 1, 0) / KEY_COUNT;
+    }
+
+    async advance(byMs: number): Promise<void> {
+        await advanceInSteps(this.clock, byMs);
+    }
+
+    dispose(): void {
+        [...this.instances].forEach(instance => instance.dispose());
+    }
+
+    private storeOf(faults: Pick<AssigningInstance, "isCut" | "holdsWrites" | "heldWrites">): RowStore {
+        const { store } = this;
+        const reach = <Value>(call: () => Promise<Result<Value, PlatformError>>) =>
+            faults.isCut
+                ? Promise.resolve(err<Value, PlatformError>({ type: "platform-unknown", detail: "cut" }))
+                : call();
+        return {
+            snapshot: table => reach(() => store.snapshot(table)),
+            row: (table, key) => reach(() => store.row(table, key)),
+            changes: (table, after, waitMs) => reach(() => store.changes(table, after, waitMs)),
+            transact: transaction => {
+                if (faults.holdsWrites) {
+                    faults.heldWrites.push(() => void store.transact(transaction));
+                    return Promise.resolve(err({ type: "platform-unknown", detail: "no answer" }));
+                }
+                return reach(() => store.transact(transaction));
+            },
+        };
+    }
+}
