Keep a carried lease when the store is restored again or an old row changes

What callers saw: keyed services refused for up to 12 s after two drills close together.

Cause: the first write of an era lists the rows of earlier ones. If the store had been restored again by then, the answer's era was dropped and the holder listed anew until its lease was over. If a delayed write changed an old row after the listing, the holder took the conflict for another holder and gave up.

The holder now enters the era that the listing states, and keeps its lease while no row of the era names another holder. Two cases of assignmentFaults.test.ts failed before (keys unserved), and pass.

--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -1,7 +1,9 @@
+import { ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import { parseJson } from "../runtime/parseJson.js";
+import type { PlatformError } from "../store/platformError.js";
 import { SUSPENSION_MS, wallOffsetMs } from "../runtime/wallOffset.js";
 import { GrantRecord } from "./grantRecord.js";
 import type { RowName, RowStore } from "./rowStore.js";
@@ -258,11 +260,14 @@
     private async write(): Promise<number> {
         const { store, clock, instance, incarnation } = this.options;
         const { era = 0 } = this;
-        const earlierRows = this.rowVersion === 0 ? await this.rowsOfEarlierEras(era) : [];
-        if (earlierRows === undefined) {
+        const earlierRows = this.rowVersion === 0 ? await this.rowsOfEarlierEras(era) : ok({ rows: [], era });
+        if (earlierRows.isErr()) {
             this.checkLost();
             return FAILURE_PAUSE_MS;
         }
+        if (earlierRows.value.era !== era) {
+            return this.enterEra(earlierRows.value.era);
+        }
         const sentAt = clock.monotonicMs();
         const offsetMs = wallOffsetMs(this.options.clock);
         const writtenMs = this.storeMsAtLatest(sentAt, offsetMs);
@@ -271,9 +276,9 @@
         const name = this.rowName(era);
         const expectedVersion = this.rowVersion ?? 0;
         const written = await store.transact({
-            expected: [{ ...name, version: expectedVersion }, ...earlierRows],
+            expected: [{ ...name, version: expectedVersion }, ...earlierRows.value.rows],
             puts: [{ ...name, value: Buffer.from(JSON.stringify(lease)) }],
-            deletes: earlierRows.map(({ table, key }) => ({ table, key })),
+            deletes: earlierRows.value.rows.map(({ table, key }) => ({ table, key })),
         });
         if (written.isOk() && written.value.era !== era) {
             return this.enterEra(written.value.era);
@@ -312,6 +317,10 @@
         }
         this.rowVersion = row?.version ?? 0;
         this.rowSeenAt = this.options.clock.monotonicMs();
+        if (lease === undefined && this.isHeld()) {
+            // A row of an earlier era has changed, so the transaction failed although no other instance holds the lease.
+            return FAILURE_PAUSE_MS;
+        }
         logger.info("Another instance holds the lease for assigning keys.", { holder: lease?.instance });
         this.heldUntil = -Infinity;
         this.checkLost();
@@ -339,15 +348,16 @@
     }
 
     /** Reads the rows of earlier eras, which the copy from which the store was restored may contain. */
-    private async rowsOfEarlierEras(era: number): Promise<LeaseProof["row"][] | undefined> {
+    private async rowsOfEarlierEras(
+        era: number,
+    ): Promise<Result<{ rows: LeaseProof["row"][]; era: number }, PlatformError>> {
         const snapshot = await this.options.store.snapshot(LEASE_TABLE);
-        if (snapshot.isErr() || snapshot.value.era !== era) {
-            return undefined;
-        }
-        const { key: ownKey } = this.rowName(era);
-        return snapshot.value.rows
-            .filter(({ key }) => key !== ownKey)
-            .map(({ key, version }) => ({ table: LEASE_TABLE, key, version }));
+        return snapshot.map(({ rows, era: listedEra }) => ({
+            rows: rows
+                .filter(({ key }) => key !== leaseKey(era))
+                .map(({ key, version }) => ({ table: LEASE_TABLE, key, version })),
+            era: listedEra,
+        }));
     }
 
     /**
