Wait for the grants of all other instances before an old assignment is used

What callers saw: nothing yet; tests show two owners for up to 8 s after a drill in which the lease changed hands shortly before the restore, or in which the holder kept its lease but couldn't write the assignment.

Cause: an assignment of an earlier era was used as soon as the grants of holders of earlier eras had ended. A holder of the same era may have granted keys since, from its memory, and an assigner that was created before the restore had computed no wait at all.

The wait now counts from when this instance gained the lease from others, whatever the era. It is no longer than before after a drill, and the first lease of the whole system waits for nothing. Three cases of assignmentFaults.test.ts failed before with two owners, and pass.

--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -35,7 +35,7 @@
     store.put(LEASE_TABLE, leaseKey(0), { instance: "a1", incarnation: "a1", renewal: 1 });
     const leaseRow = (await store.row(LEASE_TABLE, leaseKey(0)))._unsafeUnwrap();
     const row = { table: LEASE_TABLE, key: leaseKey(0), version: leaseRow.row?.version ?? 0 };
-    const lease = { held: true, isHeld: () => lease.held, proof: { era: 0, row }, earlierGrantsEndAt: () => -Infinity };
+    const lease = { held: true, isHeld: () => lease.held, proof: { era: 0, row }, otherGrantsEndAt: () => -Infinity };
     const calls = new GrantedTargets(clock);
     usedTargets.push(calls);
     let targets = ids.map(id => listed(id));
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -83,6 +83,8 @@
     private era: number | undefined;
     /** Monotonic time in milliseconds from which no instance holds a lease of an earlier era. */
     private earlierErasEndAt = -Infinity;
+    /** Monotonic time in milliseconds from which no other instance has held the lease. */
+    private othersEndedAt = -Infinity;
     private rowVersion: number | undefined;
     private rowSeenAt = 0;
     private heldUntil = -Infinity;
@@ -96,6 +98,8 @@
     private isInterrupted = false;
     /** Era in which `gained` was last called. */
     private gainedEra: number | undefined;
+    /** Whether no instance has held a lease yet, as far as this one knows. */
+    private isFirstLease: boolean;
     private holderAddress: string | undefined;
     private disposed = false;
     private cancelTimer: TimerCancellation = () => undefined;
@@ -127,6 +131,7 @@
         },
     ) {
         this.wallOffsetMs = wallOffsetMs(this.options.clock);
+        this.isFirstLease = this.options.isFirstStart === true;
     }
 
     /** Whether this instance holds the lease and may assign and grant keys. */
@@ -155,11 +160,11 @@
     }
 
     /**
-     * Upper bound of the monotonic time in milliseconds at which grants that were made under leases of earlier eras end.
-     * `-Infinity` if there are none.
+     * Upper bound of the monotonic time in milliseconds at which the grants of other instances end. `-Infinity` if there are
+     * none, as at the first start.
      */
-    earlierGrantsEndAt(holdMs: number): number {
-        return new GrantRecord(this.earlierErasEndAt, holdMs).endsAt();
+    otherGrantsEndAt(holdMs: number): number {
+        return new GrantRecord(this.othersEndedAt, holdMs).endsAt();
     }
 
     start(): void {
@@ -239,6 +244,7 @@
             this.rowVersion = row?.version ?? 0;
             this.rowSeenAt = now;
         }
+        this.isFirstLease &&= lease === undefined;
         if (lease === undefined) {
             if (now < this.earlierErasEndAt) {
                 return this.earlierErasEndAt - now;
@@ -365,15 +371,16 @@
      * the next step.
      */
     private enterEra(era: number): number {
-        const { clock, logger, isFirstStart = false } = this.options;
+        const { clock, logger } = this.options;
         const { era: earlier } = this;
         if (earlier !== undefined && era < earlier) {
             return FAILURE_PAUSE_MS;
         }
         const isFirst = earlier === undefined;
         const isHeld = this.isHeld();
+        this.isFirstLease &&= isFirst;
         // A store that was never restored has no earlier eras.
-        const hasEarlierLeases = era > 0 && !(isFirst && isFirstStart);
+        const hasEarlierLeases = era > 0 && !this.isFirstLease;
         this.era = era;
         this.earlierErasEndAt = hasEarlierLeases ? clock.monotonicMs() + EXPIRY_MS : -Infinity;
         this.rowVersion = isFirst ? undefined : 0;
@@ -416,6 +423,10 @@
             const isContinuous = !this.isInterrupted;
             this.isHolder = true;
             this.isInterrupted = false;
+            if (!isContinuous) {
+                this.othersEndedAt = this.isFirstLease ? -Infinity : this.options.clock.monotonicMs();
+            }
+            this.isFirstLease = false;
             this.gainedEra = this.era;
             this.options.logger.info("The lease for assigning keys was gained.", {
                 era: this.era,
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -87,8 +87,6 @@
     private era = 0;
     /** Latest era of the store in which the row is known to contain this assignment. */
     private storedEra = -1;
-    /** Monotonic time in milliseconds at which all grants of other instances in earlier eras of the store have ended. */
-    private readonly earlierGrantsEndAt: number;
     private isLoaded = false;
     private readonly tracked = new Map<string, TrackedTarget>();
     private readonly moving = new Set<KeyMove>();
@@ -113,8 +111,8 @@
                 isHeld(): boolean;
                 /** The lease's row in the current era of the store; missing until the lease was acquired in it. */
                 proof: LeaseProof | undefined;
-                /** Monotonic time in milliseconds at which all grants made in earlier eras of the store end. */
-                earlierGrantsEndAt(holdMs: number): number;
+                /** Monotonic time in milliseconds at which all grants of other instances end. */
+                otherGrantsEndAt(holdMs: number): number;
             };
             /** Registered targets of the service. */
             targets: () => DirectoryTarget[];
@@ -133,7 +131,6 @@
         this.assignment = emptyAssignment(options.service);
         this.startedAt = options.clock.monotonicMs();
         this.balancedAt = this.startedAt + BALANCE_DELAY_MS;
-        this.earlierGrantsEndAt = options.lease.earlierGrantsEndAt(options.holdMs ?? DEFAULT_HOLD_MS);
     }
 
     /** Reads the stored assignment of the previous assigner, then starts planning moves and renewing grants. */
@@ -193,24 +190,27 @@
 
     /**
      * Reads the assignment of the previous assigner; `false` if it can't be used yet. An assignment of an earlier era of the
-     * store may lack owners that were recorded after the copy was made. It is a mere proposal once all grants of earlier eras
-     * have ended, and its owners get new fencing tokens.
+     * store may lack owners that were recorded after the copy was made. It is a mere proposal once all grants of other
+     * instances have ended, and its owners get new fencing tokens.
      */
     private async takeOver(): Promise<boolean> {
-        const { clock, logger, service } = this.options;
+        const { clock, lease, logger, service, holdMs = DEFAULT_HOLD_MS } = this.options;
         if (!(await this.load())) {
             return false;
         }
         if (eraOfToken(this.assignment.fence) >= this.era) {
             return true;
         }
-        const waitMs = this.earlierGrantsEndAt - clock.monotonicMs();
+        const waitMs = lease.otherGrantsEndAt(holdMs) - clock.monotonicMs();
         if (waitMs > 0) {
-            logger.warn("The stored assignment may be out of date; waiting until all earlier grants have ended.", {
-                service,
-                era: this.era,
-                waitMs: Math.ceil(waitMs),
-            });
+            logger.warn(
+                "The stored assignment may be out of date; waiting until the grants of other instances have ended.",
+                {
+                    service,
+                    era: this.era,
+                    waitMs: Math.ceil(waitMs),
+                },
+            );
             await this.pause(waitMs);
             return false;
         }
