Wait for a lease with clocks that drift apart in both directions

A holder's clock may be 2% slow and the clock of an instance that waits for its lease 2% fast. The wait covered only one of them, so two leases could overlap by 71 ms (computed, not seen). It is now 3,643 ms instead of 3,570.

--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -31,10 +31,10 @@
 const MIN_WATCH_MS = 1_000;
 /** Pause after a failed call, in milliseconds. */
 const FAILURE_PAUSE_MS = 250;
-/** Relative clock drift allowed for while waiting for another instance's lease to expire. */
+/** Maximum relative drift of a clock, which may be slow at the holder and fast at an instance that waits for its lease. */
 const CLOCK_DRIFT = 0.02;
 /** Time without a change after which another instance's lease has expired, in milliseconds. */
-const EXPIRY_MS = LEASE_MS * (1 + CLOCK_DRIFT);
+const EXPIRY_MS = (LEASE_MS * (1 + CLOCK_DRIFT)) / (1 - CLOCK_DRIFT);
 
 const leaseSchema = z.object({
     instance: z.string(),
