Read the assignment only while the lease is held

An assigner that lost the lease before it had read the assignment went on reading its row every 150 ms, and rejected each result: 69 reads in 10 s in the test, which allows 9. It now waits for the lease.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -230,6 +230,9 @@
     /** Reads the assignment's row; `false` if that failed. */
     private async load(): Promise<boolean> {
         const { store, service, lease, logger } = this.options;
+        if (lease.proof === undefined) {
+            return false;
+        }
         const reading = await store.row(ASSIGNMENT_TABLE, service);
         if (reading.isErr() || reading.value.era !== lease.proof?.era) {
             return false;
