Grant nothing while the outcome of a transaction is unknown after a lost lease

When the instance gains the lease again, it reads the row; until the answer it renewed the former owner from memory, and then granted the keys to the new one.

The assignment is now marked as uncertain from such a transaction on. Nothing is planned, taken or granted until the row has been read, reads and writes of the row don't overlap any more, and a read that fails is repeated. Changes that are pending when the store enters another era are computed again, so that their token is one of that era.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -88,6 +88,10 @@
     /** Latest era of the store in which the row is known to contain this assignment. */
     private storedEra = -1;
     private isLoaded = false;
+    /** Whether the row may contain a change of this instance that isn't in the assignment, so that nothing may be granted. */
+    private isUncertain = false;
+    /** Ends when the last read or write of the row that was begun has ended; they must not overlap. */
+    private rowAccess: Promise<unknown> = Promise.resolve();
     private readonly tracked = new Map<string, TrackedTarget>();
     private readonly moving = new Set<KeyMove>();
     private readonly queue: QueuedChange[] = [];
@@ -180,14 +184,48 @@
         if (!this.isLoaded) {
             return;
         }
-        if (this.options.lease.proof?.era === this.storedEra) {
-            await this.load();
-        } else {
+        const isStored = this.options.lease.proof?.era === this.storedEra;
+        this.isUncertain ||= isStored;
+        await this.reconcile();
+        if (!isStored) {
             await this.commit(ranges => ranges);
         }
         this.renewAll();
     }
 
+    /** Reads the row until its content is known. In another era of the store the row is out of date and is written again. */
+    private reconcile(): Promise<void> {
+        const { lease } = this.options;
+        return this.accessRow(async () => {
+            while (this.isUncertain && !this.disposed && lease.isHeld()) {
+                const { proof } = lease;
+                if (proof !== undefined && (proof.era !== this.storedEra || (await this.load()))) {
+                    this.isUncertain = false;
+                    return;
+                }
+                await this.pause(REPEAT_PAUSE_MS);
+            }
+        });
+    }
+
+    /** Runs an operation on the row after those that were begun before. */
+    private accessRow<Value>(operation: () => Promise<Value>): Promise<Value> {
+        const result = this.rowAccess.then(operation);
+        this.rowAccess = result;
+        return result;
+    }
+
+    /** Whether this instance may plan moves and renew grants now. */
+    private mayAct(): boolean {
+        if (this.disposed || !this.options.lease.isHeld()) {
+            return false;
+        }
+        if (this.isUncertain) {
+            void this.reconcile();
+        }
+        return !this.isUncertain;
+    }
+
     /**
      * Reads the assignment of the previous assigner; `false` if it can't be used yet. An assignment of an earlier era of the
      * store may lack owners that were recorded after the copy was made. It is a mere proposal once all grants of other
@@ -345,7 +383,7 @@
     }
 
     private plan(): void {
-        if (this.disposed || !this.options.lease.isHeld()) {
+        if (!this.mayAct()) {
             return;
         }
         this.observe();
@@ -477,7 +515,7 @@
         let { fence } = range;
         await owner?.renewing;
         for (;;) {
-            if (this.disposed || !lease.isHeld()) {
+            if (this.disposed || this.isUncertain || !lease.isHeld()) {
                 return undefined;
             }
             if (this.isFree(range, clock.monotonicMs())) {
@@ -559,60 +597,88 @@
         await this.pause(COMMIT_LINGER_MS);
         while (this.queue.length > 0 && !this.disposed) {
             const batch = this.queue.splice(0);
-            const era = this.options.lease.proof?.era ?? this.era;
-            const fence = nextToken(this.assignment.fence, era);
+            const fence = await this.accessRow(() => this.commitBatch(batch));
+            batch.forEach(({ settle }) => settle(fence));
+        }
+        this.isCommitting = false;
+    }
+
+    /**
+     * Writes the changes to the row; resolves to their fencing token. The transaction also expects the lease's row, so that a
+     * former assigner can't write. In another era of the store the changes are written again, under a token of that era.
+     */
+    private async commitBatch(batch: readonly QueuedChange[]): Promise<number | undefined> {
+        const { lease } = this.options;
+        while (!this.disposed && !this.isUncertain && lease.isHeld()) {
+            const { proof } = lease;
+            if (proof === undefined || !(await this.enterEra(proof.era))) {
+                await this.pause(REPEAT_PAUSE_MS);
+                continue;
+            }
+            const fence = nextToken(this.assignment.fence, proof.era);
             const ranges = batch.reduce((result, { apply }) => apply(result, fence), this.assignment.ranges);
             const next: KeyAssignment = { ...this.assignment, fence, ranges };
-            const isCommitted = await this.write(next);
-            if (isCommitted) {
+            const end = await this.write(next, proof.era);
+            if (end === "committed") {
                 this.assignment = next;
+                this.storedEra = proof.era;
+                return fence;
+            }
+            if (end === "changed") {
+                return undefined;
             }
-            batch.forEach(({ settle }) => settle(isCommitted ? fence : undefined));
         }
-        this.isCommitting = false;
+        return undefined;
     }
 
-    /**
-     * Retries writing the row until the outcome is known. The transaction also expects the lease's row, so that a former
-     * assigner can't write. What was written in an earlier era of the store may be lost, so it is written again.
-     */
-    private async write(next: KeyAssignment): Promise<boolean> {
+    /** Retries writing the row until the outcome is known, the store has entered another era, or the lease is lost. */
+    private async write(next: KeyAssignment, era: number): Promise<"committed" | "changed" | "restored" | "unknown"> {
         const { store, service, lease, logger } = this.options;
         const name = { table: ASSIGNMENT_TABLE, key: service };
         const value = Buffer.from(JSON.stringify(next));
         while (!this.disposed && lease.isHeld()) {
             const { proof } = lease;
-            if (proof === undefined || !(await this.enterEra(proof.era))) {
+            if (proof === undefined) {
                 await this.pause(REPEAT_PAUSE_MS);
                 continue;
             }
+            if (proof.era !== era) {
+                return "restored";
+            }
             const written = await store.transact({
                 expected: [{ ...name, version: this.rowVersion }, proof.row],
                 puts: [{ ...name, value }],
             });
-            if (written.isOk() && written.value.era === proof.era && written.value.type === "committed") {
+            if (written.isOk() && written.value.era === era && written.value.type === "committed") {
                 this.rowVersion = written.value.version;
-                this.storedEra = proof.era;
-                return true;
+                return "committed";
             }
             const reading = await store.row(ASSIGNMENT_TABLE, service);
-            const row = reading.isOk() && reading.value.era === proof.era ? reading.value.row : undefined;
+            const row = reading.isOk() && reading.value.era === era ? reading.value.row : undefined;
             if (row !== undefined && row.version !== this.rowVersion) {
                 if (row.value?.equals(value) === true) {
                     this.rowVersion = row.version;
-                    this.storedEra = proof.era;
-                    return true;
+                    return "committed";
+                }
+                if (
+                    row.value !== undefined &&
+                    (decodeAssignment(row.value)?.fence ?? Infinity) < this.assignment.fence
+                ) {
+                    // A delayed write of an earlier era.
+                    this.rowVersion = row.version;
+                    continue;
                 }
                 logger.warn("The assignment has changed meanwhile; it is read anew.", {
                     service,
                     version: row.version,
                 });
-                await this.load();
-                return false;
+                this.isUncertain = !(await this.load());
+                return "changed";
             }
             await this.pause(written.isOk() ? 20 : REPEAT_PAUSE_MS);
         }
-        return false;
+        this.isUncertain = true;
+        return "unknown";
     }
 
     /**
@@ -674,7 +740,7 @@
 
     /** Renews the grants of all owners, except for keys that are being moved. */
     private renewAll(): void {
-        if (this.disposed || !this.options.lease.isHeld()) {
+        if (!this.mayAct()) {
             return;
         }
         this.observe();
