Grant keys again after no target could be reached

What callers saw: keys without an owner for good, after all targets of a keyed service had been out of the assigner's reach for longer than their grants. Owners whose grants had ended without an answer weren't renewed, and no other target could receive their keys.

While no target may receive keys, registered owners are now granted theirs again with each renewal.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -745,8 +745,10 @@
         }
         this.observe();
         const now = this.options.clock.monotonicMs();
+        const isStranded = this.isStranded(now);
         for (const tracked of this.tracked.values()) {
-            const isRenewable = tracked.grants.isRenewable(now, tracked.goneAt !== undefined);
+            const isGone = tracked.goneAt !== undefined;
+            const isRenewable = tracked.grants.isRenewable(now, isGone) || (isStranded && !isGone);
             if (tracked.ended || !isRenewable || tracked.isRenewing) {
                 continue;
             }
@@ -760,6 +762,11 @@
         }
     }
 
+    /** Whether no target can be reached, so that owners are granted their keys again after their grants have expired. */
+    private isStranded(now: number): boolean {
+        return ![...this.tracked.values()].some(tracked => this.plannedTarget(tracked, now)?.canReceive === true);
+    }
+
     private pause(durationMs: number): Promise<void> {
         return new Promise(resolve => this.options.clock.setTimer(durationMs, resolve));
     }
