Take the keys of a restarted target from its new process before others get them

A target restarts under its identifier and address. Until its new entry is read, renewals reach the new process, which accepts them; they name the target only by its identifier. When the entry was read, the keys counted as free, and another target was granted them while the new process held them for up to 8 s.

The new process now counts as the holder of these keys: they are free once it has answered a release, or when the last grant that may have reached it has ended. The case of assignmentFaults.test.ts failed before with two owners, and passes.

--- a/src/process/gateway/grantRecord.ts
+++ b/src/process/gateway/grantRecord.ts
@@ -31,6 +31,11 @@
         this.lastArrivalAt = since;
     }
 
+    /** The record of a new process at the same address, which the grants so far may have reached. */
+    forNewProcess(): GrantRecord {
+        return new GrantRecord(this.lastArrivalAt, this.holdMs);
+    }
+
     /** Records that a grant was answered, so it has arrived by `now`. */
     answered(now: number): void {
         this.lastArrivalAt = Math.max(this.lastArrivalAt, now);
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -303,6 +303,24 @@
         return range.target === "" ? undefined : this.tracked.get(this.identity(range.target, range.startedAtMs));
     }
 
+    /**
+     * The target that may hold the keys of a range: its owner or, if that has restarted at the same address, the new process.
+     * Renewals reach the new process until its entry is read, because they name the target only by its identifier.
+     */
+    private holderOf(range: KeyRange): TrackedTarget | undefined {
+        const owner = this.ownerOf(range);
+        if (owner?.ended === false) {
+            return owner;
+        }
+        return [...this.tracked.values()].find(
+            ({ listed: { entry }, ended }) =>
+                !ended &&
+                entry.id === range.target &&
+                entry.startedAtMs > range.startedAtMs &&
+                entry.address === range.address,
+        );
+    }
+
     /** Updates the tracked targets from the directory. */
     private observe(): void {
         const now = this.options.clock.monotonicMs();
@@ -352,10 +370,16 @@
 
     private track(identity: string, listed: DirectoryTarget, now: number): TrackedTarget {
         const { holdMs = DEFAULT_HOLD_MS } = this.options;
-        const grants = new GrantRecord(now, holdMs);
-        const late = new LateGrants(grants.endsAt() - now);
-        // An earlier assigner may have sent grants that are still in transit and that this one knows nothing about.
-        late.add({ from: 0, to: KEY_COUNT - 1, fence: this.assignment.fence }, now);
+        const { id, address } = listed.entry;
+        const earlier = [...this.tracked.values()].find(
+            ({ listed: { entry } }) => entry.id === id && entry.address === address,
+        );
+        const grants = earlier?.grants.forNewProcess() ?? new GrantRecord(now, holdMs);
+        const late = earlier?.late ?? new LateGrants(grants.endsAt() - now);
+        if (earlier === undefined) {
+            // An earlier assigner may have sent grants that are still in transit and that this one knows nothing about.
+            late.add({ from: 0, to: KEY_COUNT - 1, fence: this.assignment.fence }, now);
+        }
         const tracked: TrackedTarget = {
             listed,
             grants,
@@ -448,8 +472,8 @@
         if (range === undefined || this.isFree(range, now)) {
             return true;
         }
-        const owner = this.ownerOf(range);
-        return owner !== undefined && this.mayRelease(owner, now);
+        const holder = this.holderOf(range);
+        return holder !== undefined && this.mayRelease(holder, now);
     }
 
     /** Whether the owner of a range has restarted since it was assigned the keys. */
@@ -511,9 +535,9 @@
         to: number,
     ): Promise<{ handover: string | undefined } | undefined> {
         const { calls, clock, lease } = this.options;
-        const owner = this.ownerOf(range);
+        const owner = this.holderOf(range);
         let { fence } = range;
-        await owner?.renewing;
+        await this.ownerOf(range)?.renewing;
         for (;;) {
             if (this.disposed || this.isUncertain || !lease.isHeld()) {
                 return undefined;
@@ -564,13 +588,13 @@
 
     /** Whether no target can hold the keys of a range any more. */
     private isFree(range: KeyRange, now: number): boolean {
-        const owner = this.ownerOf(range);
-        if (range.target === "" || owner?.ended === true) {
+        if (range.target === "") {
             return true;
         }
-        return owner === undefined
-            ? now >= this.inheritedUntil || this.hasOwnerRestarted(range)
-            : now >= owner.grants.endsAt();
+        const holder = this.holderOf(range);
+        return holder === undefined
+            ? this.ownerOf(range)?.ended === true || now >= this.inheritedUntil || this.hasOwnerRestarted(range)
+            : now >= Math.max(holder.grants.endsAt(), this.ownerOf(range)?.grants.endsAt() ?? -Infinity);
     }
 
     /** Records an owner in the store. */
