--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -1,37 +1,51 @@
+import { err } from "neverthrow";
 import { advanceInSteps } from "../../../../test/support/advanceInSteps.js";
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import { waitFor } from "../../../../test/support/waitFor.js";
+import type { StoredRow } from "../rowStore.js";
 import { TableFollower } from "../tableFollower.js";
 
 const createFollower = (
     store: MemoryRowStore,
     clock: ManualClock,
-    pauses: { pauseMs: number; minPauseMs?: number } = { pauseMs: 0 },
+    pauses: { pauseMs: number; minPauseMs?: number; waitMs?: number } = { pauseMs: 0 },
 ) => {
     const rows = new Map<string, unknown>();
     const regained: number[] = [];
+    const eras: number[] = [];
+    /** Kind of each snapshot. */
+    const snapshots: string[] = [];
+    const replace = (all: StoredRow[]) => {
+        rows.clear();
+        all.forEach(({ key, value }) => rows.set(key, JSON.parse(String(value))));
+    };
     const follower = new TableFollower({
         store,
         table: "t",
         clock,
         logger: SILENT_LOGGER,
-        waitMs: 1,
+        waitMs: pauses.waitMs ?? 1,
         pauseMs: () => pauses.pauseMs,
         minPauseMs: pauses.minPauseMs,
         followed: {
             replaced: all => {
-                rows.clear();
-                all.forEach(({ key, value }) => rows.set(key, JSON.parse(String(value))));
+                snapshots.push("replaced");
+                replace(all);
             },
+            restored: all => {
+                snapshots.push("restored");
+                replace(all);
+            },
+            eraBegan: era => eras.push(era),
             changed: ({ key, value }) =>
                 value === undefined ? rows.delete(key) : rows.set(key, JSON.parse(String(value))),
             recovered: silentMs => regained.push(silentMs),
         },
     });
     follower.start();
-    return { follower, rows, regained };
+    return { follower, rows, regained, eras, snapshots };
 };
 
 describe("TableFollower", () => {
@@ -107,3 +121,242 @@
         follower.dispose();
     });
 });
+
+/**
+ * A follower that compares versions of different eras refuses the rows of the restored store, or misses changes without a
+ * sign of it.
+ */
+describe("TableFollower after the store was restored from a copy", () => {
+    const createSystem = async (options?: Parameters<typeof createFollower>[2]) => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", "copied");
+        store.put("t", "b", "copied");
+        const copy = store.copy();
+        const system = { store, clock, copy, ...createFollower(store, clock, options) };
+        await advanceInSteps(clock, 100);
+        return system;
+    };
+
+    it("reads the copy although its versions are lower than those read before", async () => {
+        const { store, clock, copy, follower, rows, eras, snapshots } = await createSystem();
+        for (let change = 0; change < 5; change++) {
+            store.put("t", "a", change);
+        }
+        store.put("t", "c", "lost");
+        await advanceInSteps(clock, 100);
+        store.restore(copy);
+        await advanceInSteps(clock, 200);
+        follower.dispose();
+        expect([...rows]).toEqual([
+            ["a", "copied"],
+            ["b", "copied"],
+        ]);
+        expect(eras).toEqual([1]);
+        expect(snapshots).toEqual(["replaced", "restored"]);
+        expect(follower.isFailing).toBe(false);
+    });
+
+    it("reads a row whose version was given out twice", async () => {
+        const { store, clock, copy, follower, rows } = await createSystem();
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        const { latestVersion } = store;
+        store.restore(copy);
+        store.put("t", "a", "new");
+        expect(store.latestVersion).toBe(latestVersion);
+        await advanceInSteps(clock, 200);
+        follower.dispose();
+        expect(rows.get("a")).toBe("new");
+    });
+
+    it("reads changes below its position when the new history has already passed it", async () => {
+        const { store, clock, copy, follower, rows } = await createSystem();
+        for (let change = 0; change < 5; change++) {
+            store.put("t", "a", change);
+        }
+        await advanceInSteps(clock, 100);
+        store.restore(copy);
+        store.put("t", "b", "new");
+        for (let change = 0; change < 20; change++) {
+            store.put("other", "x", change);
+        }
+        await advanceInSteps(clock, 200);
+        store.put("t", "c", "later");
+        await advanceInSteps(clock, 200);
+        follower.dispose();
+        expect([...rows]).toEqual([
+            ["a", "copied"],
+            ["b", "new"],
+            ["c", "later"],
+        ]);
+    });
+
+    it("reads the whole table although the store answers at first that nothing has changed", async () => {
+        const { store, clock, copy, follower, rows } = await createSystem();
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        store.restore(copy);
+        // The restored store has exactly the version up to which the follower has read.
+        store.put("other", "x", 1);
+        await advanceInSteps(clock, 200);
+        follower.dispose();
+        expect(rows.get("a")).toBe("copied");
+    });
+
+    it("doesn't keep a row that the copy lacks", async () => {
+        const { store, clock, copy, follower, rows } = await createSystem();
+        store.put("t", "c", "lost");
+        await advanceInSteps(clock, 100);
+        store.restore(copy);
+        await advanceInSteps(clock, 200);
+        follower.dispose();
+        expect(rows.has("c")).toBe(false);
+    });
+
+    it("reads the last era if the store was restored several times while it got no answers", async () => {
+        const { store, clock, copy, follower, rows, eras, snapshots } = await createSystem();
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        store.fault = "down";
+        await advanceInSteps(clock, 3_000);
+        store.restore(copy);
+        store.put("t", "a", "lost again");
+        store.restore(copy);
+        store.put("t", "b", "new");
+        store.fault = undefined;
+        // The store answers in real time.
+        await waitFor(async () => {
+            await advanceInSteps(clock, 100);
+            return snapshots.length > 1;
+        });
+        follower.dispose();
+        expect([...rows]).toEqual([
+            ["a", "copied"],
+            ["b", "new"],
+        ]);
+        expect(eras).toEqual([2]);
+        expect(snapshots).toEqual(["replaced", "restored"]);
+    });
+
+    it("survives a further restore between the answer that shows the first one and the listing", async () => {
+        const { store, clock, copy, follower, rows, eras, snapshots } = await createSystem();
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        const snapshot = store.snapshot.bind(store);
+        store.snapshot = table => {
+            store.snapshot = snapshot;
+            store.restore(copy);
+            store.put("t", "b", "new");
+            return snapshot(table);
+        };
+        store.restore(copy);
+        await advanceInSteps(clock, 500);
+        follower.dispose();
+        expect(rows.get("b")).toBe("new");
+        expect(eras).toEqual([1, 2]);
+        expect(snapshots).toEqual(["replaced", "restored"]);
+    });
+
+    it.each(["changes", "snapshot"] as const)(
+        "ignores an answer (%s) of an earlier era that arrives late, and counts it as a failure",
+        async kind => {
+            const { store, clock, copy, follower, rows } = await createSystem();
+            store.put("t", "a", "lost");
+            await advanceInSteps(clock, 100);
+            const late = kind === "changes" ? await store.changes("t", 0, 0) : await store.snapshot("t");
+            store.restore(copy);
+            await advanceInSteps(clock, 200);
+            const call = store[kind].bind(store) as () => Promise<never>;
+            let isFailing = false;
+            store.historyLost = kind === "snapshot";
+            Object.assign(store, {
+                [kind]: () => {
+                    Object.assign(store, {
+                        [kind]: () => {
+                            isFailing = follower.isFailing;
+                            Object.assign(store, { [kind]: call });
+                            return call.apply(store, ["t", 0, 0] as never);
+                        },
+                    });
+                    return Promise.resolve(late);
+                },
+            });
+            store.put("t", "b", "new");
+            await advanceInSteps(clock, 500);
+            follower.dispose();
+            expect(isFailing).toBe(true);
+            expect([...rows]).toEqual([
+                ["a", "copied"],
+                ["b", "new"],
+            ]);
+        },
+    );
+
+    it("lists the table at once, without the pause after changes or failures", async () => {
+        const { store, clock, copy, follower, rows } = await createSystem({ pauseMs: 10_000, waitMs: 60_000 });
+        await advanceInSteps(clock, 10_000);
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        expect(rows.get("a")).toBe("lost");
+        store.restore(copy);
+        // Another follower has seen the era during this one's pause.
+        follower.restored(1);
+        expect(follower.isFresh).toBe(false);
+        await advanceInSteps(clock, 100);
+        expect(rows.get("a")).toBe("copied");
+        follower.dispose();
+    });
+
+    it("ends a held call that stays silent when another follower has seen the new era", async () => {
+        const { store, clock, copy, follower, rows, snapshots } = await createSystem({ pauseMs: 0, waitMs: 60_000 });
+        store.isSilentAtRestore = true;
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        store.restore(copy);
+        await advanceInSteps(clock, 1_000);
+        expect(rows.get("a")).toBe("lost");
+        follower.restored(1);
+        await advanceInSteps(clock, 50);
+        expect(rows.get("a")).toBe("copied");
+        expect(follower.isFailing).toBe(false);
+        // The same news again has no effect.
+        follower.restored(1);
+        await advanceInSteps(clock, 50);
+        expect(snapshots).toEqual(["replaced", "restored"]);
+        follower.dispose();
+    });
+
+    it("stays loaded while the restored store can't be listed, and pauses between its calls", async () => {
+        const { store, clock, copy, follower, rows } = await createSystem();
+        store.put("t", "a", "lost");
+        await advanceInSteps(clock, 100);
+        store.restore(copy);
+        const snapshot = store.snapshot.bind(store);
+        let calls = 0;
+        store.snapshot = () => {
+            calls++;
+            return Promise.resolve(err({ type: "platform-unavailable", detail: "busy" }));
+        };
+        await advanceInSteps(clock, 5_000);
+        expect(calls).toBeLessThan(20);
+        expect([follower.isLoaded, follower.isFailing, rows.get("a")]).toEqual([true, true, "lost"]);
+        store.snapshot = snapshot;
+        await advanceInSteps(clock, 1_000);
+        expect(rows.get("a")).toBe("copied");
+        follower.dispose();
+    });
+
+    it("doesn't take the era of a store that was restored before its own start for a restore", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", "copied");
+        store.restore(store.copy());
+        const { follower, rows, eras, snapshots } = createFollower(store, clock);
+        await advanceInSteps(clock, 200);
+        follower.dispose();
+        expect(rows.get("a")).toBe("copied");
+        expect([eras, snapshots]).toEqual([[], ["replaced"]]);
+        expect(follower.latestEra).toBe(1);
+    });
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -491,9 +491,11 @@
         pauseMs: () => number;
         minPauseMs?: number;
         replaced: (rows: StoredRow[]) => void;
+        /** Applies the first snapshot of a restored store; `replaced` by default. */
+        restored?: (rows: StoredRow[]) => void;
         changed: (row: StoredRow) => void;
     }): TableFollower {
-        const { table, waitMs, pauseMs, minPauseMs, replaced, changed } = options;
+        const { table, waitMs, pauseMs, minPauseMs, replaced, restored = replaced, changed } = options;
         const { clock, loggers, platform } = this.options;
         return new TableFollower({
             store: platform.store,
@@ -503,10 +505,22 @@
             waitMs,
             pauseMs,
             minPauseMs,
-            followed: { replaced, changed, recovered: () => this.checkOutage() },
+            followed: {
+                replaced,
+                restored,
+                changed,
+                eraBegan: era => this.storeRestored(era),
+                recovered: () => this.checkOutage(),
+            },
         });
     }
 
+    /** Passes on to all that follow the store that it was restored from a copy. */
+    private storeRestored(era: number): void {
+        this.followers.forEach(follower => follower.restored(era));
+        this.assigners.lease.lookAgain();
+    }
+
     private configChanged(row: StoredRow): void {
         if (row.key === this.options.platform.tables.configKey && row.value !== undefined) {
             this.config.apply(this.options.platform.decodeConfig(row.value));
--- a/src/process/gateway/rowStore.ts
+++ b/src/process/gateway/rowStore.ts
@@ -63,7 +63,12 @@
 export interface RowStore {
     snapshot(table: string): Promise<Result<TableSnapshot, PlatformError>>;
     row(table: string, key: string): Promise<Result<RowReading, PlatformError>>;
-    /** Waits up to `waitMs` milliseconds for a change after `after`. */
-    changes(table: string, after: number, waitMs: number): Promise<Result<TableChanges, PlatformError>>;
+    /** Waits up to `waitMs` milliseconds for a change after `after`, or until the signal ends the call. */
+    changes(
+        table: string,
+        after: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<Result<TableChanges, PlatformError>>;
     transact(transaction: RowTransaction): Promise<Result<TransactionOutcome, PlatformError>>;
 }
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -15,27 +15,42 @@
 const READ_MS = 30;
 
 /** Result of a call to the store. */
-type FollowerStep = "changed" | "quiet" | "failed" | "history-lost";
+type FollowerStep = "changed" | "quiet" | "failed" | "history-lost" | "restored";
 
 /** Callbacks for what a follower reads. */
 export interface FollowedTable {
     /** Called with a snapshot of all rows; rows that aren't included don't exist. */
     replaced(rows: StoredRow[]): void;
     changed(row: StoredRow): void;
+    /**
+     * Called instead of `replaced` with the first snapshot after the store was restored from a copy. A row may be that of the
+     * copy, which is older than one that was read before, or may have been written since the restore.
+     */
+    restored(rows: StoredRow[]): void;
+    /** Called when an answer shows that the store has been restored; `restored` follows when the table has been read. */
+    eraBegan(era: number): void;
     /** Called when the store answers again after `silentMs` milliseconds without an answer. */
     recovered(silentMs: number): void;
 }
 
 /**
  * Follows one table of the store: reads a snapshot, then its changes. Rows older than the known versions are ignored, so
- * the view never goes back in time.
+ * the view doesn't go back in time. Versions count within one era of the store only. In a later era the whole table is read
+ * again, whatever its versions are, and answers of earlier eras are ignored.
  *
  * @example
  * const follower = new TableFollower({ store, table: "op", clock, logger, waitMs: 4000, pauseMs: () => 0, followed });
  * follower.start();
  */
 export class TableFollower {
-    private position: number | undefined;
+    /** Version up to which the table has been read in this era. */
+    private position = 0;
+    /** Latest known era; `undefined` before the first answer. */
+    private era: number | undefined;
+    private mustList = true;
+    /** Whether the store was restored and the table hasn't been listed since. */
+    private isRestored = false;
+    private hasSnapshot = false;
     private readonly versions = new Map<string, number>();
     private disposed = false;
     private failures = 0;
@@ -45,6 +60,7 @@
     private freshFrom = -Infinity;
     private isRefreshRequested = false;
     private endPause: () => void = () => undefined;
+    private heldCall = new AbortController();
 
     constructor(
         private readonly options: {
@@ -69,7 +85,12 @@
 
     /** Whether a snapshot has been read. */
     get isLoaded(): boolean {
-        return this.position !== undefined;
+        return this.hasSnapshot;
+    }
+
+    /** Latest known era of the store; 0 before the first answer. */
+    get latestEra(): number {
+        return this.era ?? 0;
     }
 
     /** Whether the last call failed. */
@@ -93,6 +114,20 @@
         this.endPause();
     }
 
+    /**
+     * Reads the whole table again at once, because another follower has found that the store was restored. A held call is
+     * ended, since the restored store may never answer it.
+     */
+    restored(era: number): void {
+        if (this.era === undefined || era <= this.era) {
+            return;
+        }
+        this.enterEra(era);
+        this.heldCall.abort();
+        this.isRefreshRequested = true;
+        this.wake();
+    }
+
     start(): void {
         void this.run();
     }
@@ -103,11 +138,8 @@
     }
 
     private async run(): Promise<void> {
-        let listing = true;
         while (!this.disposed) {
-            const isListing: boolean = listing || this.position === undefined;
-            const step: FollowerStep = isListing ? await this.list() : await this.follow();
-            listing = step === "history-lost" || (isListing && step === "failed");
+            const step = this.mustList ? await this.list() : await this.follow();
             if (step === "failed") {
                 await this.pause(this.failurePauseMs());
             } else if (step === "changed") {
@@ -128,7 +160,7 @@
             await remainder;
             this.endPause = () => undefined;
         }
-        this.freshFrom = this.options.clock.monotonicMs() + READ_MS;
+        this.freshFrom = this.mustList ? Infinity : this.options.clock.monotonicMs() + READ_MS;
     }
 
     private async list(): Promise<"changed" | "failed"> {
@@ -137,16 +169,27 @@
         if (snapshot.isErr()) {
             return this.failed(snapshot.error);
         }
+        const { rows, version, era } = snapshot.value;
+        if (!this.checkEra(era)) {
+            return this.late(era);
+        }
         this.answered();
-        const { rows, version } = snapshot.value;
-        if (this.position !== undefined && version < this.position) {
+        if (version < this.position) {
             return this.failed({ type: "platform-protocol", detail: `snapshot at ${version} is stale` });
         }
         this.position = version;
         const fresh = rows.filter(row => row.version >= (this.versions.get(row.key) ?? 0));
         this.versions.clear();
         fresh.forEach(row => this.versions.set(row.key, row.version));
-        followed.replaced(fresh);
+        const { isRestored } = this;
+        this.mustList = false;
+        this.isRestored = false;
+        this.hasSnapshot = true;
+        if (isRestored) {
+            followed.restored(fresh);
+        } else {
+            followed.replaced(fresh);
+        }
         return "changed";
     }
 
@@ -154,13 +197,25 @@
         const { store, table, followed, logger } = this.options;
         // While the store fails, calls without a wait detect its recovery earliest.
         const waitMs = this.isFailing ? 0 : this.options.waitMs;
-        const changes = await store.changes(table, this.position ?? 0, waitMs);
+        this.heldCall = new AbortController();
+        const changes = await store.changes(table, this.position, waitMs, this.heldCall.signal);
+        if (this.isRestored) {
+            return "restored";
+        }
         if (changes.isErr()) {
             return this.failed(changes.error);
         }
+        const { era } = changes.value;
+        if (!this.checkEra(era)) {
+            return this.late(era);
+        }
         this.answered();
+        if (this.isRestored) {
+            return "restored";
+        }
         if (changes.value.type === "history-lost") {
             logger.info("The store has dropped its history; reading the whole table again.", { table });
+            this.mustList = true;
             return "history-lost";
         }
         const { rows, version } = changes.value;
@@ -170,10 +225,40 @@
                 followed.changed(row);
             }
         }
-        this.position = Math.max(this.position ?? 0, version);
+        this.position = Math.max(this.position, version);
         return rows.length > 0 ? "changed" : "quiet";
     }
 
+    /** Enters a later era; `false` if the era is an earlier one. */
+    private checkEra(era: number): boolean {
+        if (this.era === undefined) {
+            this.era = era;
+        } else if (era > this.era) {
+            this.enterEra(era);
+            this.options.followed.eraBegan(era);
+        }
+        return era === this.era;
+    }
+
+    private enterEra(era: number): void {
+        const { table, logger } = this.options;
+        logger.warn("The store was restored from a copy; reading the whole table again.", { table, era });
+        this.era = era;
+        this.position = 0;
+        this.versions.clear();
+        this.mustList = true;
+        this.isRestored = true;
+        this.freshFrom = Infinity;
+    }
+
+    /** Counts an answer of an earlier era, which was on its way when the store was restored. */
+    private late(era: number): "failed" {
+        return this.failed({
+            type: "platform-protocol",
+            detail: `an answer of era ${era} came in era ${this.era}`,
+        });
+    }
+
     private answered(): void {
         const silentMs = this.silentMs();
         this.lastAnswerAt = this.options.clock.monotonicMs();
--- a/test/support/memoryRowStore.ts
+++ b/test/support/memoryRowStore.ts
@@ -26,6 +26,8 @@
     private readonly waiting = new Set<() => void>();
     /** Fault that applies to calls from now on. */
     fault: StoreFault | undefined;
+    /** Whether held calls stay unanswered when the store is restored. */
+    isSilentAtRestore = false;
     /** Number of calls by kind. */
     readonly calls = { snapshot: 0, row: 0, changes: 0, transact: 0 };
     /** Whether the next call for changes reports a lost history, after which the caller must read a snapshot. */
@@ -55,7 +57,9 @@
         tables.forEach((rows, name) => this.tables.set(name, new Map(rows)));
         this.version = version;
         this.era++;
-        queueMicrotask(() => this.waiting.forEach(wake => wake()));
+        if (!this.isSilentAtRestore) {
+            queueMicrotask(() => this.waiting.forEach(wake => wake()));
+        }
     }
 
     /** Gives a row a version, as if it had been written then. */
@@ -89,7 +93,12 @@
         return this.reply(() => ({ row: row?.value === undefined ? undefined : row, storeMs }));
     }
 
-    async changes(table: string, after: number, waitMs: number): Promise<Result<TableChanges, PlatformError>> {
+    async changes(
+        table: string,
+        after: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<Result<TableChanges, PlatformError>> {
         this.calls.changes++;
         if (this.historyLost) {
             this.historyLost = false;
@@ -100,7 +109,10 @@
         }
         const changed = () => [...this.rowsOf(table).values()].filter(({ version }) => version > after);
         if (changed().length === 0 && this.fault === undefined) {
-            await this.waitForChange(waitMs);
+            await this.waitForChange(waitMs, signal);
+        }
+        if (signal?.aborted === true) {
+            return err({ type: "platform-unknown", detail: "aborted" });
         }
         if (after > this.version) {
             return this.reply(() => ({ type: "history-lost" }));
@@ -109,7 +121,7 @@
         return this.reply(() => ({ type: "changes", rows, version: this.version }));
     }
 
-    private waitForChange(waitMs: number): Promise<void> {
+    private waitForChange(waitMs: number, signal: AbortSignal | undefined): Promise<void> {
         return new Promise(resolve => {
             const wake = () => {
                 clearTimeout(timer);
@@ -118,6 +130,7 @@
             };
             const timer = setTimeout(wake, waitMs);
             timer.unref();
+            signal?.addEventListener("abort", wake);
             this.waiting.add(wake);
         });
     }
