Keep what is known of targets when the store is restored from a copy (CONFIG)

What callers would see: requests sent to targets that are leaving or gone (DRAIN, LOST), and targets that registered after the copy was made missing until they register again.

Cause: the directory applied the entries of the copy as if they were the latest. A target that had said that it is draining was ready again, one that had left was listed again, a later start was replaced by an earlier one, and an entry that the copy lacks counted as removed at once unless an outage of a second or more had been noticed.

The interval is in the settings; - an era begins the time in which targets register again, also without a noticed outage, and a further one begins it anew. Later changes are what targets have written, and count as before.

--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -17,7 +17,12 @@
 
 const createDirectory = () => {
     const clock = new ManualClock();
-    const directory = new TargetDirectory({ clock, logger: SILENT_LOGGER, onChange: () => undefined });
+    const directory = new TargetDirectory({
+        clock,
+        logger: SILENT_LOGGER,
+        checkInMs: 1_000,
+        onChange: () => undefined,
+    });
     const usable = (service = "stock") => directory.usable(service).map(target => target.entry.id);
     return { clock, directory, usable };
 };
@@ -68,3 +73,128 @@
         expect(usable()).toEqual(["t1"]);
     });
 });
+
+/**
+ * A directory that trusts the copy sends requests to targets that are leaving or gone, or forgets those that registered after
+ * it was made.
+ */
+describe("TargetDirectory after the store was restored from a copy", () => {
+    const restore = ({ directory }: ReturnType<typeof createDirectory>, ...entries: TargetEntry[]) => {
+        directory.storeRestored();
+        directory.restored(entries);
+    };
+
+    it("keeps a target draining whose entry of the copy is ready, until it starts again", () => {
+        const system = createDirectory();
+        const { directory, usable } = system;
+        directory.put(entry("t1"));
+        directory.put(entry("t1", { draining: true }));
+        restore(system, entry("t1"));
+        expect(usable()).toEqual([]);
+        directory.put(entry("t1", { startedAtMs: 2 }));
+        expect(usable()).toEqual(["t1"]);
+    });
+
+    it("keeps a target out of use that was draining when its entry was removed", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        directory.put(entry("t1", { draining: true }));
+        directory.entryGone("t1");
+        restore(system, entry("t1"));
+        clock.advance(10_000);
+        directory.put(entry("t1"));
+        expect(usable()).toEqual([]);
+    });
+
+    it("doesn't use a target that has left, although its entry is in the copy until it expires there", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        directory.put(entry("t1"));
+        directory.entryGone("t1");
+        restore(system, entry("t1"));
+        clock.advance(4_000);
+        expect(usable()).toEqual([]);
+        directory.entryGone("t1");
+        clock.advance(10_000);
+        expect(usable()).toEqual([]);
+    });
+
+    it("uses a target again whose entry had only lapsed, once it writes or its entry doesn't expire", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        ["t1", "t2"].forEach(id => directory.put(entry(id)));
+        ["t1", "t2"].forEach(id => directory.entryGone(id));
+        restore(system, entry("t1"), entry("t2"));
+        clock.advance(500);
+        directory.put(entry("t1"));
+        expect(usable()).toEqual(["t1"]);
+        // The entry of a target that lives doesn't change when the target checks in.
+        clock.advance(5_000);
+        expect(usable()).toEqual(["t1", "t2"]);
+    });
+
+    it("keeps using a target that the copy lacks while it may register again, and no longer", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        ["t1", "t2", "t3"].forEach(id => directory.put(entry(id)));
+        restore(system, entry("t1"));
+        expect(usable()).toEqual(["t1", "t2", "t3"]);
+        clock.advance(1_500);
+        directory.put(entry("t2"));
+        clock.advance(1_000);
+        expect(usable()).toEqual(["t1", "t2"]);
+    });
+
+    it("doesn't replace a start by an earlier one of the copy, which may have another address", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        directory.put(entry("t1"));
+        directory.put(entry("t1", { startedAtMs: 2, address: "later:80" }));
+        restore(system, entry("t1"));
+        expect(directory.get("t1")?.entry.address).toBe("later:80");
+        clock.advance(10_000);
+        expect(directory.get("t1")?.entry.address).toBe("later:80");
+        expect(usable()).toEqual(["t1"]);
+    });
+
+    it("doesn't bring back a start before the one that has left", () => {
+        const system = createDirectory();
+        const { directory, usable } = system;
+        directory.put(entry("t1"));
+        directory.put(entry("t1", { startedAtMs: 2 }));
+        directory.entryGone("t1");
+        restore(system, entry("t1"));
+        expect(usable()).toEqual([]);
+    });
+
+    it("leaves an address with the target to which it has moved", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        directory.put(entry("t1"));
+        directory.put(entry("t2", { address: "t1:80", service: "orders", startedAtMs: 2 }));
+        restore(system, entry("t1"));
+        expect([usable("stock"), usable("orders")]).toEqual([[], ["t2"]]);
+        clock.advance(1_000);
+        directory.put(entry("t2", { address: "t1:80", service: "orders", startedAtMs: 2 }));
+        clock.advance(10_000);
+        expect([usable("stock"), usable("orders")]).toEqual([[], ["t2"]]);
+    });
+
+    it("keeps all this in drills close together", () => {
+        const system = createDirectory();
+        const { clock, directory, usable } = system;
+        ["t1", "t2", "t3"].forEach(id => directory.put(entry(id)));
+        directory.entryGone("t1");
+        directory.put(entry("t2", { draining: true }));
+        for (let drill = 0; drill < 5; drill++) {
+            restore(system, entry("t1"), entry("t2"));
+            expect(usable()).toEqual(["t3"]);
+            clock.advance(1_000);
+        }
+        // Each drill starts the time anew in which targets register again.
+        clock.advance(400);
+        directory.put(entry("t3"));
+        clock.advance(3_000);
+        expect(usable()).toEqual(["t3"]);
+    });
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -76,6 +76,8 @@
     metrics?: { host: string; port: number };
     /** Time allowed for a shutdown, in milliseconds. */
     graceMs: number;
+    /** Interval at which targets check in at the store, in milliseconds. */
+    checkInMs: number;
     /** Maximum time for which targets may be granted keys, in milliseconds. */
     maxHoldMs: number;
     /** Limit on the retries of all instances together. */
@@ -144,6 +146,7 @@
                 this.suspects.targetEnded(id);
                 this.observer.targetGone(id);
             },
+            checkInMs: options.checkInMs,
             graceMs: options.graceMs,
         });
         this.owners = new KeyOwners({ clock, logger: loggers("ownership") });
@@ -201,6 +204,7 @@
                 // The assigner has to move the keys of leaving targets without delay.
                 pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
                 replaced: rows => this.targets.listed(rows),
+                restored: rows => this.targets.restored(rows),
                 changed: row => this.targets.rowChanged(row),
             }),
             this.follow({
@@ -517,6 +521,7 @@
 
     /** Passes on to all that follow the store that it was restored from a copy. */
     private storeRestored(era: number): void {
+        this.targets.directory.storeRestored();
         this.followers.forEach(follower => follower.restored(era));
         this.assigners.lease.lookAgain();
     }
--- a/src/process/gateway/gatewayTargets.ts
+++ b/src/process/gateway/gatewayTargets.ts
@@ -36,14 +36,16 @@
             decode: (id: string, value: Buffer) => TargetEntry | undefined;
             /** Connections that a target of the service accepts; `undefined` if the config doesn't specify it. */
             connectionLimit: (service: string) => number | undefined;
+            /** Interval at which targets check in at the store, in milliseconds. */
+            checkInMs: number;
             /** Called when a target's entry was removed. */
             gone: (id: string) => void;
             /** Time allowed for running requests to a target whose entry was removed, in milliseconds. */
             graceMs: number;
         },
     ) {
-        const { clock, logger } = options;
-        this.directory = new TargetDirectory({ clock, logger, onChange: target => this.changed(target) });
+        const { clock, logger, checkInMs } = options;
+        this.directory = new TargetDirectory({ clock, logger, checkInMs, onChange: target => this.changed(target) });
     }
 
     all(): Iterable<GatewayTarget> {
@@ -83,20 +85,39 @@
                 this.directory.entryGone(entry.id);
             }
         }
-        rows.forEach(row => this.rowChanged(row));
+        for (const row of rows) {
+            const entry = this.decode(row);
+            if (entry === undefined || !this.directory.isDoubted(entry)) {
+                this.apply(row.key, entry);
+            }
+        }
+    }
+
+    /** Applies a snapshot of all entries of a store that was restored from a copy. */
+    restored(rows: readonly StoredRow[]): void {
+        this.directory.restored(rows.map(row => this.decode(row)).filter(entry => entry !== undefined));
     }
 
     /** Applies a changed entry. */
     rowChanged(row: StoredRow): void {
-        const entry = row.value === undefined ? undefined : this.options.decode(row.key, row.value);
-        if (entry !== undefined) {
+        this.apply(row.key, this.decode(row));
+    }
+
+    private apply(id: string, entry: TargetEntry | undefined): void {
+        if (entry === undefined) {
+            this.directory.entryGone(id);
+        } else {
             this.directory.put(entry);
-            return;
         }
-        if (row.value !== undefined) {
+    }
+
+    /** Decodes an entry; `undefined` if it was removed or is none. */
+    private decode(row: StoredRow): TargetEntry | undefined {
+        const entry = row.value === undefined ? undefined : this.options.decode(row.key, row.value);
+        if (entry === undefined && row.value !== undefined) {
             this.options.logger.warn("A target entry can't be decoded; it counts as removed.", { entry: row.key });
         }
-        this.directory.entryGone(row.key);
+        return entry;
     }
 
     dispose(): void {
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -1,4 +1,5 @@
-import type { Clock } from "../runtime/clock.js";
+import { isDeepStrictEqual } from "node:util";
+import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { TargetEntry } from "./targetEntry.js";
 
@@ -7,6 +8,13 @@
  * the time within which a target that has left must be out of use.
  */
 const RETURN_GRACE_MS = 1_700;
+/**
+ * Number of check-in intervals after which an entry of a copy shows that its target lives: a silent one loses its entry after
+ * three, and the removal takes time to be read.
+ */
+const CHECK_INS = 5;
+/** Number of departed targets that are remembered; the oldest are forgotten first. Copies are some seconds old. */
+const MAX_DEPARTED = 2_000;
 
 /** A target and its state in the directory. */
 export interface DirectoryTarget {
@@ -20,7 +28,11 @@
 }
 
 /**
- * The registered targets by their identifiers.
+ * The registered targets by their identifiers. A target that was draining in one start stays so for that start.
+ *
+ * The store may be restored from a copy, whose entries are older than what was read before. An entry of the copy doesn't bring
+ * back a target that has departed, nor an earlier start of a target; one that is written or still there after the restore
+ * does. A target whose entry the copy lacks stays usable for the time in which targets register again.
  *
  * @example
  * const directory = new TargetDirectory({ clock, logger, onChange });
@@ -32,6 +44,11 @@
     private readonly missing = new Set<DirectoryTarget>();
     private readonly targets = new Map<string, DirectoryTarget>();
     private readonly byService = new Map<string, Set<DirectoryTarget>>();
+    /** Starts that have departed, by identifier, oldest first. */
+    private readonly departed = new Map<string, { startedAtMs: number; draining: boolean }>();
+    /** Entries of a copy that don't count yet, by identifier. */
+    private doubted = new Map<string, TargetEntry>();
+    private cancelDoubt: TimerCancellation = () => undefined;
     private outageEndedAt = -Infinity;
     private outage = false;
 
@@ -39,6 +56,8 @@
         private readonly options: {
             clock: Clock;
             logger: Logger;
+            /** Interval at which targets check in at the store, in milliseconds. */
+            checkInMs: number;
             /** Called after a target has become usable or unusable. */
             onChange: (target: DirectoryTarget) => void;
         },
@@ -66,8 +85,56 @@
         this.outage = outage;
     }
 
+    /** Records that the store was restored from a copy, which may lack entries until their targets register again. */
+    storeRestored(): void {
+        this.outageEndedAt = this.options.clock.monotonicMs();
+    }
+
+    /** Applies all entries of a store that was restored from a copy. */
+    restored(entries: readonly TargetEntry[]): void {
+        this.cancelDoubt();
+        const known = new Set(entries.map(({ id }) => id));
+        for (const { entry } of [...this.all()]) {
+            if (!known.has(entry.id)) {
+                this.entryGone(entry.id);
+            }
+        }
+        const doubted = entries.filter(entry => this.isOutOfDate(entry));
+        this.doubted = new Map(doubted.map(entry => [entry.id, entry]));
+        entries.filter(({ id }) => !this.doubted.has(id)).forEach(entry => this.put(entry));
+        if (doubted.length > 0) {
+            this.options.logger.info("Entries of targets that have departed are in the store's copy.", {
+                targets: doubted.map(({ id }) => id).join(" "),
+            });
+            const delayMs = CHECK_INS * this.options.checkInMs;
+            this.cancelDoubt = this.options.clock.setTimer(delayMs, () => this.endDoubt());
+        }
+    }
+
+    /** Whether an entry is one of a copy that doesn't count yet. */
+    isDoubted(entry: TargetEntry): boolean {
+        return isDeepStrictEqual(this.doubted.get(entry.id), entry);
+    }
+
+    private endDoubt(): void {
+        const listed = [...this.doubted.values()].filter(({ id }) => !this.targets.has(id));
+        this.doubted.clear();
+        listed.forEach(entry => this.put(entry));
+    }
+
+    /** Whether an entry of a copy is that of a start that has departed, or of one before the known start. */
+    private isOutOfDate({ id, startedAtMs }: TargetEntry): boolean {
+        const known = this.targets.get(id);
+        return known === undefined
+            ? startedAtMs <= (this.departed.get(id)?.startedAtMs ?? -Infinity)
+            : startedAtMs < known.entry.startedAtMs;
+    }
+
     /** Adds or updates an entry. */
-    put(entry: TargetEntry): void {
+    put(written: TargetEntry): void {
+        this.doubted.delete(written.id);
+        const entry = { ...written, draining: written.draining || this.wasDraining(written) };
+        this.departed.delete(entry.id);
         const known = this.targets.get(entry.id);
         if (known !== undefined && known.entry.startedAtMs !== entry.startedAtMs) {
             this.remove(entry.id);
@@ -89,23 +156,49 @@
         }
     }
 
+    private wasDraining({ id, startedAtMs }: TargetEntry): boolean {
+        const known = this.targets.get(id)?.entry;
+        const departed = this.departed.get(id);
+        return [known, departed].some(start => start?.startedAtMs === startedAtMs && start.draining);
+    }
+
     /** Handles an entry that is no longer in the store. */
     entryGone(id: string): void {
+        this.doubted.delete(id);
         const target = this.targets.get(id);
         if (target === undefined) {
             return;
         }
-        const graceMs = this.outageEndedAt + RETURN_GRACE_MS - this.options.clock.monotonicMs();
+        const graceMs = this.graceMs();
         if (target.usable && (this.outage || graceMs > 0)) {
-            this.options.clock.setTimer(Math.max(graceMs, RETURN_GRACE_MS), () => this.removeUnlessBack(target));
             this.missing.add(target);
+            this.removeAfter(target, Math.max(graceMs, RETURN_GRACE_MS));
             return;
         }
         this.remove(id);
     }
 
+    /** Time left in milliseconds in which targets may register again. */
+    private graceMs(): number {
+        return this.outageEndedAt + RETURN_GRACE_MS - this.options.clock.monotonicMs();
+    }
+
+    private removeAfter(target: DirectoryTarget, delayMs: number): void {
+        this.options.clock.setTimer(delayMs, () => this.removeUnlessBack(target));
+    }
+
     private removeUnlessBack(target: DirectoryTarget): void {
-        if (this.missing.delete(target) && this.targets.get(target.entry.id) === target) {
+        if (!this.missing.has(target)) {
+            return;
+        }
+        const graceMs = this.graceMs();
+        if (graceMs > 0) {
+            // The store was away or restored once more.
+            this.removeAfter(target, graceMs);
+            return;
+        }
+        this.missing.delete(target);
+        if (this.targets.get(target.entry.id) === target) {
             this.remove(target.entry.id);
         }
     }
@@ -146,7 +239,17 @@
             this.targets.delete(id);
         }
         this.byService.get(service)?.delete(target);
+        this.recordDeparture(target.entry);
         this.options.logger.info(`Target ${id} has left.`, { service, address, cause });
         this.options.onChange(target);
     }
+
+    private recordDeparture({ id, startedAtMs, draining }: TargetEntry): void {
+        this.departed.delete(id);
+        this.departed.set(id, { startedAtMs, draining });
+        const [oldest] = this.departed.keys();
+        if (this.departed.size > MAX_DEPARTED) {
+            this.departed.delete(oldest);
+        }
+    }
 }
--- a/test/support/assigningInstances.ts
+++ b/test/support/assigningInstances.ts
@@ -62,6 +62,7 @@
             decode: () => undefined,
             connectionLimit: () => undefined,
             gone: () => undefined,
+            checkInMs: 1_000,
             graceMs: 1_000,
         });
         this.entries.forEach(entry => targets.directory.put(entry));
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -92,6 +92,7 @@
             peers: peerPort === undefined ? undefined : { host: "127.0.0.1", port: peerPort },
             metrics: { host: "127.0.0.1", port: 0 },
             graceMs: 5_000,
+            checkInMs: 300,
             maxHoldMs: 10_000,
             retryLimit: { ratio: 0.2, windowMs: 10_000 },
             clock: systemClock,
