Remember crashes that a restored store has lost

What targets would see: a request that has crashed three of them is sent to them again after a restore, as the rows of the copy lack the latest crashes and replaced what was known of other instances. An instance wrote its own crashes again only after the next one.

Rows of the copy now add to what is known, until their instances write them again, and each instance that has seen crashes writes its row when an era begins.

Evidence: the new test of crashSuspects.test.ts; the code before has no way to tell rows of the copy, and with `restored` applying each row as a change the request isn't refused and nothing is written.

--- a/src/process/gateway/__tests__/crashSuspects.test.ts
+++ b/src/process/gateway/__tests__/crashSuspects.test.ts
@@ -75,4 +75,47 @@
         }
         expect(suspects.isQuarantined(call("/in-flight"))).toBe(false);
     });
+
+    it("doesn't forget crashes that the copy of a restored store lacks, and reports its own again", () => {
+        const clock = new ManualClock();
+        const published: Buffer[] = [];
+        const suspects = new CrashSuspects({
+            clock,
+            logger: SILENT_LOGGER,
+            ownRow: "a1",
+            publish: value => published.push(value),
+        });
+        const row = (key: string, crashes: Record<string, string[]>, version: number) => ({
+            key,
+            value: Buffer.from(JSON.stringify({ crashes })),
+            version,
+        });
+        const poison = suspects.fingerprint(call("/poison"));
+        crash(suspects, "/poison", "t1");
+        suspects.rowChanged(row("a2", { [poison]: ["t2", "t3"] }, 5));
+        suspects.rowChanged(row("a3", { [poison]: ["t4"] }, 6));
+        const [own] = published.splice(0);
+        suspects.restored([row("a1", {}, 2), row("a2", { [poison]: ["t2"] }, 3)]);
+        expect(published).toEqual([own]);
+        expect(suspects.isQuarantined(call("/poison"))).toBe(true);
+
+        // Only what an instance writes after the restore replaces what is known of it.
+        const others = createSuspects(clock, "a4");
+        others.rowChanged(row("a2", { [poison]: ["t2", "t3", "t4"] }, 5));
+        others.restored([row("a2", { [poison]: ["t2"] }, 3)]);
+        others.rowChanged(row("a2", {}, 4));
+        expect(others.isQuarantined(call("/poison"))).toBe(false);
+    });
+
+    it("reports nothing after a restore if it has seen no crash", () => {
+        const published: Buffer[] = [];
+        const suspects = new CrashSuspects({
+            clock: new ManualClock(),
+            logger: SILENT_LOGGER,
+            ownRow: "a1",
+            publish: value => published.push(value),
+        });
+        suspects.restored([]);
+        expect(published).toEqual([]);
+    });
 });
--- a/src/process/gateway/crashSuspects.ts
+++ b/src/process/gateway/crashSuspects.ts
@@ -116,8 +116,7 @@
         for (const fingerprint of [...this.own.keys()].slice(0, Math.max(0, this.own.size - MAX_REPORTED))) {
             this.own.delete(fingerprint);
         }
-        const crashes = Object.fromEntries([...this.own].map(([fingerprint, targets]) => [fingerprint, [...targets]]));
-        this.options.publish(Buffer.from(JSON.stringify({ crashes })));
+        this.publishOwn();
     }
 
     /** Clears an answered request if it was in flight at a crash. */
@@ -145,6 +144,29 @@
         this.others.set(row.key, new Map(Object.entries(parsed.data.crashes)));
     }
 
+    /**
+     * Applies the rows of a store that was restored from a copy. They may lack crashes that were read before, which stay known
+     * until their instances write their rows again, as this one does.
+     */
+    restored(rows: readonly StoredRow[]): void {
+        const before = new Map(this.others);
+        for (const row of rows) {
+            this.rowChanged(row);
+            const reports = this.others.get(row.key);
+            for (const [fingerprint, targets] of before.get(row.key) ?? []) {
+                reports?.set(fingerprint, [...new Set([...targets, ...(reports.get(fingerprint) ?? [])])]);
+            }
+        }
+        if (this.own.size > 0) {
+            this.publishOwn();
+        }
+    }
+
+    private publishOwn(): void {
+        const crashes = Object.fromEntries([...this.own].map(([fingerprint, targets]) => [fingerprint, [...targets]]));
+        this.options.publish(Buffer.from(JSON.stringify({ crashes })));
+    }
+
     private crashesOf(fingerprint: string): number {
         const others = [...this.others.values()].flatMap(reports => reports.get(fingerprint) ?? []);
         return new Set([...others, ...(this.own.get(fingerprint) ?? [])]).size;
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -212,6 +212,7 @@
                 waitMs: SHARED_WAIT_MS,
                 pauseMs: () => SHARED_CHANGES_PAUSE_MS,
                 replaced: rows => rows.forEach(row => this.suspects.rowChanged(row)),
+                restored: rows => this.suspects.restored(rows),
                 changed: row => this.suspects.rowChanged(row),
             }),
         ];
