Take the content that a config's version has after a restore

A version names one content, so a config of the version in force was ignored. If the operator's write was lost in a restore and the version is given to another content, instances that had read the first one would keep it until the next version, and new ones would have the second.

Evidence: the third test of configKeeper.test.ts fails on the code before. The others, on older, missing and unreadable configs of the copy, pass before, too.

--- a/src/process/gateway/configKeeper.ts
+++ b/src/process/gateway/configKeeper.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import type { Result } from "neverthrow";
 import type { RouteConfig } from "../../version/routeConfig.js";
 import { RouteLookup } from "../../version/routeLookup.js";
@@ -10,7 +11,9 @@
 }
 
 /**
- * Keeps the newest valid config. A config that is invalid, or not newer than the one in force, is ignored.
+ * Keeps the newest valid config. A config that is invalid or older than the one in force is ignored, also if the store was
+ * restored from a copy without the newer one. A version names one content, so another content of the version in force can only
+ * have been written after the store lost the first one; it replaces that.
  *
  * @example
  * const keeper = new ConfigKeeper({ logger, onChange: lookup => server.setLimits(lookup.config.limits) });
@@ -36,13 +39,12 @@
             return;
         }
         const config = decoded.value;
-        if (this.lookup !== undefined && config.version <= this.lookup.config.version) {
-            if (config.version < this.lookup.config.version) {
-                logger.warn("An older config is ignored.", {
-                    version: config.version,
-                    current: this.lookup.config.version,
-                });
-            }
+        const current = this.lookup?.config;
+        if (current !== undefined && config.version < current.version) {
+            logger.warn("An older config is ignored.", { version: config.version, current: current.version });
+            return;
+        }
+        if (current !== undefined && isDeepStrictEqual(config, current)) {
             return;
         }
         logger.info(`Config ${config.version} is in force.`, { routes: config.routes.length });
