Report the era of the store in the metrics

The gauge store_era shows on each instance which era of the store it has seen last, so that a drill, and an instance that hasn't noticed it, can be seen without logs.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -448,6 +448,7 @@
         return {
             configVersion: this.config.current?.config.version ?? 0,
             storeSilentMs: this.storeSilentMs(),
+            storeEra: Math.max(...this.followers.map(({ latestEra }) => latestEra)),
             isAssigner: this.assigners.lease.isHeld(),
             targets: [...this.targets.all()].map(target => ({
                 service: target.listed.entry.service,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -10,6 +10,8 @@
     configVersion: number;
     /** Time since the store last answered, in milliseconds. */
     storeSilentMs: number;
+    /** Era of the store; 0 until it is restored from a copy for the first time. */
+    storeEra: number;
     isAssigner: boolean;
     targets: Iterable<{ service: string; target: string; inFlight: number; limit: number | undefined }>;
     retries: Iterable<{ service: string; available: number }>;
@@ -91,10 +93,11 @@
     }
 
     private collect(): void {
-        const { configVersion, storeSilentMs, isAssigner, targets, retries } = this.options.state();
+        const { configVersion, storeSilentMs, storeEra, isAssigner, targets, retries } = this.options.state();
         this.metrics.gauge("bundle_version", { domain: this.options.domain }).set(configVersion);
         this.metrics.gauge("platform_up", {}).set(storeSilentMs < STORE_DOWN_MS ? 1 : 0);
         this.metrics.gauge("platform_silence_seconds", {}).set(storeSilentMs / 1_000);
+        this.metrics.gauge("store_era", {}).set(storeEra);
         this.metrics.gauge("key_assigner", {}).set(isAssigner ? 1 : 0);
         for (const { service, target, inFlight, limit } of targets) {
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -114,6 +114,11 @@
     bundle_version: { type: "gauge", help: "Bundle version in force.", labels: ["domain"] },
     platform_up: { type: "gauge", help: "1 while the platform answers, else 0.", labels: [] },
     platform_silence_seconds: { type: "gauge", help: "Time since the platform last answered.", labels: [] },
+    store_era: {
+        type: "gauge",
+        help: "Era of the platform's store, which rises by one each time the store is restored from a copy; 0 while unknown.",
+        labels: [],
+    },
     key_assigner: { type: "gauge", help: "1 while this instance assigns keys on the platform, else 0.", labels: [] },
     lease_seconds: { type: "gauge", help: "Time left of the domain lease; 0 when it has lapsed.", labels: [] },
     audit_buffered_records: { type: "gauge", help: "Audit records that are not yet in the table.", labels: [] },
