--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -234,15 +234,15 @@
         if (this.era === undefined) {
             this.era = era;
         } else if (era > this.era) {
+            const { table, logger, followed } = this.options;
+            logger.warn("The store was restored from a copy; reading all tables again.", { table, era });
             this.enterEra(era);
-            this.options.followed.eraBegan(era);
+            followed.eraBegan(era);
         }
         return era === this.era;
     }
 
     private enterEra(era: number): void {
-        const { table, logger } = this.options;
-        logger.warn("The store was restored from a copy; reading the whole table again.", { table, era });
         this.era = era;
         this.position = 0;
         this.versions.clear();
