--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -68,6 +68,8 @@
     wasReset: boolean;
 }
 
+const originOf = (address: string): string => `http://${address}`;
+
 const describeFailure = (error: unknown): TargetFailure => {
     const code = typeof error === "object" && error !== null && "code" in error ? String(error.code) : "";
     const detail = error instanceof Error ? error.message : String(error);
@@ -107,6 +109,7 @@
     private readonly connections = new Set<TargetConnection>();
     private readonly idle: TargetConnection[] = [];
     private disposed = false;
+    private readonly hasValidAddress: boolean;
     /** Connections opened so far. */
     opened = 0;
 
@@ -114,17 +117,25 @@
         private readonly address: string,
         private readonly clock: Clock,
         private readonly options: { connectTimeoutMs?: number; limit?: number } = {},
-    ) {}
+    ) {
+        this.hasValidAddress = URL.canParse(originOf(address));
+    }
 
     /**
      * Sends a request on an idle connection, or on a new one if there is none or `fresh` is set. Connections idle for
      * more than `maxIdleMs` are closed, as the target may be about to close them. At the limit an idle connection is
-     * closed to open a new one; if none is idle, the request fails with `connection-limit` before it is sent.
+     * closed to open a new one; if none is idle, the request fails with `connection-limit` before it is sent. At an address
+     * that isn't valid, each request fails before it is sent.
      */
     send(request: TargetRequest, answer: TargetAnswer, options: { fresh: boolean; maxIdleMs?: number }): SentRequest {
+        if (!this.hasValidAddress) {
+            const detail = `${this.address} isn't a host and a port; correct the entry of the target.`;
+            return this.failUnsent(answer, { type: "broken", refused: false, detail });
+        }
         const connection = (options.fresh ? undefined : this.takeIdle(options.maxIdleMs)) ?? this.openWithinLimit();
         if (connection === undefined) {
-            return this.failAtLimit(answer);
+            const detail = "The connection limit of the target is reached; raise connections-per-target.";
+            return this.failUnsent(answer, { type: "connection-limit", refused: false, detail });
         }
         connection.idle = false;
         let controller: Dispatcher.DispatchController | undefined;
@@ -238,7 +249,7 @@
     }
 
     /** Reports the failure in a microtask, because the caller doesn't have the request until this returns. */
-    private failAtLimit(answer: TargetAnswer): SentRequest {
+    private failUnsent(answer: TargetAnswer, cause: TargetFailure): SentRequest {
         let isSettled = false;
         const fail = (failure: TargetFailure) => {
             if (!isSettled) {
@@ -246,8 +257,7 @@
                 answer.failed(failure);
             }
         };
-        const detail = "The connection limit of the target is reached; raise connections-per-target.";
-        queueMicrotask(() => fail({ type: "connection-limit", refused: false, detail }));
+        queueMicrotask(() => fail(cause));
         return {
             abort: reason => fail({ type: "aborted", refused: false, detail: reason }),
             pause: () => undefined,
@@ -257,7 +267,7 @@
 
     private open(): TargetConnection {
         this.opened++;
-        const client = new Client(`http://${this.address}`, {
+        const client = new Client(originOf(this.address), {
             pipelining: 1,
             connect: resettingConnector({
                 timeoutMs: this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
