Ignore an address of the lease with a port that no datagram can have

Callers saw: nothing yet; only instances write the lease's row.

Cause: `parsePeerAddress` accepted any positive number as a port. Node.js throws when a datagram is sent to a port above 65535, and the senders run in timers and requests, so the process would have ended. It is the class of the odd entries: an address from the store that is checked for its type only.

Fix: a port is a whole number from 1 to 65535; otherwise there is no address, as when the lease names none.

--- a/src/process/gateway/peerPort.ts
+++ b/src/process/gateway/peerPort.ts
@@ -1,6 +1,9 @@
 import { openDatagramPort, type DatagramPort } from "../../connection/datagramPort.js";
 import type { Logger } from "../observability/logger.js";
 
+/** Highest port; Node.js throws when a datagram is sent to a higher one. */
+const MAX_PORT = 65_535;
+
 /** Address at which an instance receives datagrams. */
 export interface PeerAddress {
     host: string;
@@ -15,7 +18,8 @@
  */
 export const parsePeerAddress = (text: string | undefined): PeerAddress | undefined => {
     const [host, port] = text?.split(":") ?? [];
-    return host !== undefined && Number(port) > 0 ? { host, port: Number(port) } : undefined;
+    const isPort = /^\d+$/.test(port ?? "") && Number(port) > 0 && Number(port) <= MAX_PORT;
+    return host !== undefined && isPort ? { host, port: Number(port) } : undefined;
 };
 
 /** Handles a datagram; returns `false` if it isn't a message of its kind. */
