--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -381,13 +381,14 @@
                 head: (status, headers) => {
                     head = { status, headers };
                     facts = this.services.factsOf(status, headers);
+                    if (facts.requestId !== call.requestId) {
+                        // It may be a repetition of an earlier answer, which says nothing about this request.
+                        attempt.sent?.abort("the answer doesn't carry the identifier of the request");
+                        return;
+                    }
                     if (facts.load !== undefined) {
                         target.report(facts.load);
                     }
-                    if (facts.requestId !== undefined && facts.requestId !== call.requestId) {
-                        attempt.sent?.abort("the answer belongs to another request");
-                        return;
-                    }
                     if (facts.limitPerSecond !== undefined || (target.limit !== undefined && facts.signed)) {
                         this.services.limitStated(target, facts.limitPerSecond, attempt.sentAt ?? startedAt);
                     }
@@ -543,8 +544,8 @@
             return;
         }
         const isSuccess = head.status >= 200 && head.status < 300;
-        if (isSuccess && (!facts.signed || facts.requestId !== this.call.requestId)) {
-            attempt.record.end += facts.signed ? ", answer to another request" : ", unsigned";
+        if (isSuccess && !facts.signed) {
+            attempt.record.end += ", unsigned";
             target.failed();
             this.next(attempt, "lost");
             return;
