Pass no status on that promises "not run" without the target's statement (REFUSED)

Callers saw: 503, 429 or 408 of a target that hadn't stated that it didn't run the request; for a request that can't be repeated, callers take these for a promise.

Cause: the gateway decides by the statement (`X-Not-Executed`, 421), callers by the status. An answer without the statement was passed on unchanged.

Evidence: earlierAnswers.test.ts, the three cases of a target that doesn't state that it didn't run: 503, 429 and 408 reached the caller of a request that had run.

Fix: for requests that can't be repeated, such an answer counts as lost (502). For idempotent ones it is passed on as before, since a repetition does no harm.

--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -37,6 +37,9 @@
 /** Share of the time left after which an idempotent request without any answer is sent to another target. */
 const SILENCE_SHARE = 0.5;
 
+/** Statuses that promise a caller that its request hasn't run and won't run. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+
 /** Result of choosing a target for a request. */
 export type Placement =
     | { type: "target"; target: GatewayTarget }
@@ -550,6 +553,13 @@
             this.next(attempt, "lost");
             return;
         }
+        if (NOT_RUN_STATUSES.has(head.status) && this.route.repeatability === "nonIdempotent") {
+            // The caller would take the status for a promise, which the target hasn't made.
+            attempt.record.end += ", may have run";
+            target.failed();
+            this.next(attempt, "lost");
+            return;
+        }
         if (this.isDone) {
             return;
         }
--- a/test/failure/earlierAnswers.test.ts
+++ b/test/failure/earlierAnswers.test.ts
@@ -2,6 +2,8 @@
 import { startScriptedTarget, type ScriptedTarget, type TargetArrival } from "../support/scriptedTarget.js";
 import { pause } from "../support/waitFor.js";
 
+type Answer = Parameters<TargetArrival["answer"]>[0];
+
 const NOT_RUN = "X-Not-Executed: 1";
 const EARLIER = "earlier-1";
 const LARGE_BODY = "x".repeat(90_000);
@@ -68,6 +70,16 @@
         expect((await order("/order/after")).status).toBe(200);
     });
 
+    it.each<[string, Answer]>([
+        ["503", { status: 503, body: "ran" }],
+        ["429", { status: 429, body: "ran" }],
+        ["408", { status: 408, body: "ran" }],
+    ])("guards against a promise by %s of a target that doesn't state that it didn't run", async (_, answer) => {
+        await start(arrival => arrival.answer(answer));
+        expect(PROMISES).not.toContain((await order("/order/1")).status);
+        expect(runsOf("/order/1")).toHaveLength(1);
+    });
+
     it.each([503, 429, 421, 400])("goes on to another target after a true refusal with status %d", async status => {
         let isFirst = true;
         await start(arrival => {
