Frame no answer as whole whose transfer coding doesn't end in chunks (MIXED)

Callers saw: a 200 with a `Content-Length` of what had arrived, of an answer that only the end of its connection delimits and that may have been broken off.

Cause: any `Transfer-Encoding` counted as a statement of the end, also one such as `gzip` after which HTTP reads until the connection ends.

Fix: only a length or `chunked` as the last coding states the end. Others are passed on with `Connection: close` and without a length.

--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -65,9 +65,19 @@
  * isFramed({ status: 200, headers: [{ name: "content-length", value: "4" }] }); // true
  */
 export const isFramed = ({ status, headers }: AnswerHead): boolean =>
-    status === 204 || status === 304 || headers.some(({ name }) => FRAMING_HEADERS.has(name.toLowerCase()));
+    status === 204 || status === 304 || headers.some(header => statesEnd(header));
 
-const FRAMING_HEADERS = new Set(["content-length", "transfer-encoding"]);
+/** Whether a header makes an answer state its end. Of the transfer codings, only chunks at the end do. */
+const statesEnd = ({ name, value }: Header): boolean => {
+    switch (name.toLowerCase()) {
+        case "content-length":
+            return true;
+        case "transfer-encoding":
+            return /(^|,)[ \t]*chunked[ \t]*$/i.test(value);
+        default:
+            return false;
+    }
+};
 
 /** Reply to the caller. Exactly one of `answer`, `refuse` and `stream` is called, unless the caller has gone. */
 export interface GatewayReply {
