Move the client of HTTP calls out of platform/

Of the modules that platform/ may import, the test lists this one instead of the connector that only it used.

--- a/platform/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -1,5 +1,5 @@
 import { Pool } from "undici";
-import { resettingConnector } from "../src/connection/resettingConnector.js";
+import { resettingConnector } from "./resettingConnector.js";
 
 /** The response to a call, or the reason why there is none. */
 export type CallResult =
--- a/test/failure/endlessAnswers.test.ts
+++ b/test/failure/endlessAnswers.test.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import { createCallPool, call } from "../../platform/httpCalls.js";
+import { createCallPool, call } from "../../src/connection/httpCalls.js";
 import { PlatformObjects } from "../../src/process/store/platformObjects.js";
 import { GatewayHarness, standInConfig } from "../support/gatewayHarness.js";
 import { startScriptedTarget, type ScriptedTarget, type TargetArrival } from "../support/scriptedTarget.js";
--- a/tools/__tests__/platformBoundary.test.ts
+++ b/tools/__tests__/platformBoundary.test.ts
@@ -9,7 +9,7 @@
 const ALLOWED_IMPORTS = new Set([
     "src/connection/gatewayServer",
     "src/connection/peerProtocol",
-    "src/connection/resettingConnector",
+    "src/connection/httpCalls",
     "src/process/runtime/clock",
     "src/process/gateway/configKeeper",
     "src/process/gateway/gateway",
