Look at the lease at once when the store was restored

What callers saw: keyed services without an assigner for up to 5 s longer than needed after a drill in which the holder of the lease was lost. An instance waits for leases of earlier eras from its first answer of the new one, and a look at the lease was left out if the last one was less than a second ago; the next came 5 s later.

Any follower's answer of a new era now makes the next step of the lease due, also the holder's, whose lease of the earlier era may be about to end. The new test fails with the former call.

--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -169,4 +169,20 @@
         expect(lease.isHeld()).toBe(true);
         expect(steps).toEqual(["gained", "lost", "gained"]);
     });
+
+    it("is acquired in a new era without waiting for the next read, which would prolong the time without an assigner", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const holder = createLease(store, clock, "a1");
+        const other = createLease(store, clock, "a2");
+        holder.lease.start();
+        await advanceInSteps(clock, 100);
+        other.lease.start();
+        await advanceInSteps(clock, 100);
+        store.restore(store.copy());
+        holder.lease.dispose();
+        other.lease.storeRestored(1);
+        await advanceInSteps(clock, LEASE_MS + 500);
+        expect(other.lease.isHeld()).toBe(true);
+    });
 });
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -179,6 +179,14 @@
         }
     }
 
+    /** Takes the next step at once if the store is in a later era than the lease, which each instance has to learn of soon. */
+    storeRestored(era: number): void {
+        if (era > (this.era ?? era)) {
+            this.cancelTimer();
+            this.wake();
+        }
+    }
+
     /**
      * Releases the lease, so that another instance need not wait for it to expire. It is no longer held from this call on;
      * the row is deleted once `settled` has resolved, when all calls made under the lease have ended.
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -525,7 +525,7 @@
     private storeRestored(era: number): void {
         this.targets.directory.storeRestored();
         this.followers.forEach(follower => follower.restored(era));
-        this.assigners.lease.lookAgain();
+        this.assigners.lease.storeRestored(era);
     }
 
     private configChanged(row: StoredRow): void {
