Count a raised fencing token only when the owner has answered it

Before keys are released, a higher token makes unanswered grants harmless. If the grant with it was refused or not sent, the next turn took it for seen: the keys were released, a late grant under the old token took effect, and their new owner held them, too.

The token that the owner is known to have seen now rises only with an answer. The new test failed before with two owners, and passes.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -287,6 +287,38 @@
     );
 });
 
+describe("A raised token that no grant has carried to the owner", () => {
+    it("doesn't make late grants harmless if the connection for the raised grant is refused", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const { calls } = system;
+        const grant = calls.grant.bind(calls);
+        const release = calls.release.bind(calls);
+        let isRefusing = false;
+        const refuses = (address: string) => isRefusing && address === "t1:80";
+        calls.grant = async (target, keys) => {
+            if (refuses(target.address)) {
+                return { type: "refused" };
+            }
+            // Grants to t1 get no answer and take effect later.
+            calls.grantDelayMs = target.address === "t1:80" ? 4_000 : 0;
+            const reply = await grant(target, keys);
+            calls.grantDelayMs = 0;
+            return reply;
+        };
+        calls.release = async (target, keys) => (refuses(target.address) ? { type: "refused" } : release(target, keys));
+        await system.advance(2_500);
+        isRefusing = true;
+        system.putTarget("t1", { draining: true });
+        await system.advance(1_000);
+        isRefusing = false;
+        await system.advance(8_000);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
+
 /** `REPLAY_FIRST` and `REPLAY_SEEDS` choose the seeds of a long run by hand. */
 const FIRST = Number(process.env.REPLAY_FIRST ?? 1);
 const SEEDS = Array.from({ length: Number(process.env.REPLAY_SEEDS ?? 3) }, (_, index) => FIRST + index);
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -537,6 +537,8 @@
         const { calls, clock, lease } = this.options;
         const owner = this.holderOf(range);
         let { fence } = range;
+        // The highest token that the owner is known to have seen for these keys.
+        let seenFence = fence;
         await this.ownerOf(range)?.renewing;
         for (;;) {
             if (this.disposed || this.isUncertain || !lease.isHeld()) {
@@ -548,13 +550,15 @@
             if (owner === undefined) {
                 return undefined;
             }
-            if (owner.late.mayTakeEffect({ from, to, fence }, clock.monotonicMs())) {
+            if (owner.late.mayTakeEffect({ from, to, fence: seenFence }, clock.monotonicMs())) {
                 const raised = await this.raiseFence(owner, { ...range, from, to, handover: undefined });
                 if (raised === undefined) {
                     return undefined;
                 }
                 fence = raised.fence;
-                if (!raised.isAnswered) {
+                if (raised.isAnswered) {
+                    seenFence = fence;
+                } else {
                     await this.pause(REPEAT_PAUSE_MS);
                 }
                 continue;
