Share the set-up of the tests of a restored store

Two tests of a holder that can't write the assignment again differ only in how it ends; they are cases of one test now, which checks the holder in both. The entry of a target and the system with moved keys are made in one place.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -1,6 +1,11 @@
 import { jest } from "@jest/globals";
 import { err, type Result } from "neverthrow";
-import { AssigningInstances, SERVICE, type AssigningInstance } from "../../../../test/support/assigningInstances.js";
+import {
+    AssigningInstances,
+    SERVICE,
+    startWithMovedKeys,
+    type AssigningInstance,
+} from "../../../../test/support/assigningInstances.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 import type { PlatformError } from "../../store/platformError.js";
 import { leaseKey, LEASE_TABLE } from "../assignerLease.js";
@@ -32,18 +37,6 @@
 
 const writes = ({ puts }: RowTransaction, table: string): boolean => puts.some(put => put.table === table);
 
-const createSystem = async (...instances: string[]) => {
-    const system = new AssigningInstances(["t1", "t2", "t3"]);
-    instances.forEach(name => system.start(name));
-    await system.advance(7_000);
-    const copy = system.store.copy();
-    system.putTarget("t1", { draining: true });
-    await system.advance(2_000);
-    system.putTarget("t4");
-    await system.advance(3_000);
-    return { system, copy };
-};
-
 const until = async (system: AssigningInstances, condition: () => boolean, maxMs = 30_000) => {
     for (let elapsed = 0; !condition(); elapsed += 5) {
         if (elapsed > maxMs) {
@@ -64,7 +57,7 @@
 
 describe("The assignment of keys after a fault", () => {
     it("waits for the grants of the previous holder if the store is restored before its successor has read the assignment", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         let isRefused = false;
         onRow(system, (table, key, next) =>
             isRefused && table === ASSIGNMENT_TABLE ? unavailable() : next(table, key),
@@ -82,8 +75,11 @@
         system.dispose();
     });
 
-    it("waits for the grants of a holder that carried its lease over and couldn't write the assignment again", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+    it.each([
+        ["ends", false],
+        ["releases its lease", true],
+    ])("waits for the grants of a holder that %s before it could write the assignment again", async (_, isReleased) => {
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         let isRefused = true;
         onTransact(system, (transaction, next) =>
             isRefused && writes(transaction, ASSIGNMENT_TABLE) ? unavailable() : next(transaction),
@@ -92,24 +88,9 @@
         system.store.restore(copy);
         await system.advance(15_000);
         expect(system.holders()).toEqual([holder]);
-        holder.dispose();
-        isRefused = false;
-        await system.advance(25_000);
-        expect(system.calls.violations).toEqual([]);
-        expect(system.heldShare()).toBe(1);
-        system.dispose();
-    });
-
-    it("waits for the grants of a holder that released its lease before it could write the assignment again", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
-        let isRefused = true;
-        onTransact(system, (transaction, next) =>
-            isRefused && writes(transaction, ASSIGNMENT_TABLE) ? unavailable() : next(transaction),
-        );
-        const [holder] = system.holders();
-        system.store.restore(copy);
-        await system.advance(15_000);
-        await holder.assigners.release();
+        if (isReleased) {
+            await holder.assigners.release();
+        }
         holder.dispose();
         isRefused = false;
         await system.advance(25_000);
@@ -120,7 +101,7 @@
 
     describe("a change that is pending while the first lease write of an era gets no answer", () => {
         const createPending = async () => {
-            const { system, copy } = await createSystem("a1");
+            const { system, copy } = await startWithMovedKeys("a1");
             let isRefused = true;
             let isLost = false;
             onTransact(system, async (transaction, next) => {
@@ -197,7 +178,7 @@
     });
 
     it("carries the lease over if the store is restored again before the first write of an era", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const [holder] = system.holders();
         onTransact(system, (transaction, next) =>
             transaction.puts.some(({ key }) => key === leaseKey(1)) ? unavailable() : next(transaction),
@@ -213,7 +194,7 @@
     });
 
     it("carries the lease over if the row of an earlier era changes before the first write of an era", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const { store } = system;
         const snapshot = store.snapshot.bind(store);
         let isArmed = true;
@@ -236,7 +217,7 @@
     });
 
     it("doesn't read the assignment again and again after the lease was lost before it was used", async () => {
-        const { system, copy } = await createSystem("a1", "a2", "a3");
+        const { system, copy } = await startWithMovedKeys("a1", "a2", "a3");
         system.store.restore(copy);
         system.holders()[0].dispose();
         await until(system, () => system.holders().length === 1);
--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -1,3 +1,4 @@
+import { entryOf } from "../../../../test/support/assigningInstances.js";
 import { GrantedTargets } from "../../../../test/support/grantedTargets.js";
 import { advanceInSteps } from "../../../../test/support/advanceInSteps.js";
 import { ManualClock } from "../../../../test/support/manualClock.js";
@@ -11,16 +12,7 @@
 const HOLD_MS = 10_000;
 
 const listed = (id: string, startedAtMs = 1): DirectoryTarget => ({
-    entry: {
-        id,
-        service: "stock",
-        address: `${id}:80`,
-        domain: "linz",
-        slots: 6,
-        draining: false,
-        warmupLeftMs: 0,
-        startedAtMs,
-    },
+    entry: entryOf(id, startedAtMs),
     usable: true,
     gone: false,
     seenAt: 0,
--- a/src/process/gateway/__tests__/restoredStore.test.ts
+++ b/src/process/gateway/__tests__/restoredStore.test.ts
@@ -1,4 +1,4 @@
-import { AssigningInstances } from "../../../../test/support/assigningInstances.js";
+import { AssigningInstances, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 import { leaseKey, LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
 import { eraOfToken } from "../fencingTokens.js";
@@ -12,18 +12,6 @@
     await system.advance(2_000);
 };
 
-/** A system in which keys were moved after a copy was made, and the copy. */
-const createSystem = async (...instances: string[]) => {
-    const system = new AssigningInstances(["t1", "t2", "t3"]);
-    instances.forEach(name => system.start(name));
-    await system.advance(7_000);
-    const copy = system.store.copy();
-    await drain(system, "t1");
-    system.putTarget("t4");
-    await system.advance(3_000);
-    return { system, copy };
-};
-
 const expectOneOwner = (system: AssigningInstances) => {
     expect(system.calls.violations).toEqual([]);
     expect(system.heldShare()).toBe(1);
@@ -33,7 +21,7 @@
 /** An assigner that trusts the copy gives keys two owners, under fencing tokens that targets have already seen. */
 describe("The assignment of keys after the store was restored from a copy", () => {
     it("keeps its owners while the assigner keeps its lease, and the row of the copy is replaced", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const before = system.assignment?.ranges.map(({ from, target }) => [from, target]);
         system.store.restore(copy);
         for (let elapsed = 0; elapsed < 4_000; elapsed += 50) {
@@ -47,7 +35,7 @@
     });
 
     it("waits until earlier grants have ended when the assigner is gone", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const [holder] = system.holders();
         system.store.restore(copy);
         holder.dispose();
@@ -57,7 +45,7 @@
     });
 
     it("waits for the lease and the grants of an assigner that is cut off from the store", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const [holder] = system.holders();
         holder.isCut = true;
         system.store.restore(copy);
@@ -71,7 +59,7 @@
     });
 
     it("doesn't trust the copy in an instance that starts after the restore", async () => {
-        const { system, copy } = await createSystem("a1");
+        const { system, copy } = await startWithMovedKeys("a1");
         const [holder] = system.holders();
         system.store.restore(copy);
         holder.dispose();
@@ -84,7 +72,7 @@
     });
 
     it("doesn't trust the copy if the assigner ends before it has written the assignment again", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const [holder] = system.holders();
         system.store.restore(copy);
         // The lease of the new era is acquired, and nothing else is written.
@@ -114,7 +102,7 @@
     });
 
     it("keeps its owners in drills close together", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         for (let drill = 0; drill < 4; drill++) {
             system.store.restore(copy);
             await system.advance(700);
@@ -130,7 +118,7 @@
     });
 
     it("ignores a write of an earlier era whose versions were given out again", async () => {
-        const { system, copy } = await createSystem("a1", "a2");
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
         const [holder] = system.holders();
         holder.holdsWrites = true;
         system.putTarget("t2", { draining: true });
--- a/test/support/assigningInstances.ts
+++ b/test/support/assigningInstances.ts
@@ -28,7 +28,8 @@
     dispose: () => void;
 }
 
-const entryOf = (id: string, startedAtMs: number): TargetEntry => ({
+/** The entry of a target of the service. */
+export const entryOf = (id: string, startedAtMs: number): TargetEntry => ({
     id,
     service: SERVICE,
     address: `${id}:80`,
@@ -150,3 +151,16 @@
         };
     }
 }
+
+/** Starts instances, has keys moved after a copy of the store was made, and returns the system and the copy. */
+export const startWithMovedKeys = async (...instances: string[]) => {
+    const system = new AssigningInstances(["t1", "t2", "t3"]);
+    instances.forEach(name => system.start(name));
+    await system.advance(7_000);
+    const copy = system.store.copy();
+    system.putTarget("t1", { draining: true });
+    await system.advance(2_000);
+    system.putTarget("t4");
+    await system.advance(3_000);
+    return { system, copy };
+};
