Use the latest record of a target that has restarted more than once

The record of a new process began with that of the first process at the address, not the latest, so a grant to the one in between could have been left out. Found by reading; the new test of two restarts passes with the former code, too.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -268,6 +268,28 @@
     );
 });
 
+describe("A target that restarts twice under its id and address", () => {
+    it("isn't free of keys that its second process was granted", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(9_000);
+        const { calls } = system;
+        const release = calls.release.bind(calls);
+        // Its processes don't answer releases, so only the end of their grants frees the keys.
+        calls.release = async (target, keys) =>
+            target.address === "t2:80" ? { type: "unanswered", detail: "busy" } : release(target, keys);
+        for (const startedAtMs of [2, 3]) {
+            calls.held.delete("t2:80");
+            await system.advance(5_000);
+            system.putTarget("t2", { startedAtMs, draining: true });
+        }
+        await system.advance(15_000);
+        expect(calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
+
 describe("A raised token that no grant has carried to the owner", () => {
     it("doesn't make late grants harmless if the connection for the raised grant is refused", async () => {
         const system = new AssigningInstances(["t1", "t2", "t3"]);
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -10,7 +10,7 @@
     configVersion: number;
     /** Time since the store last answered, in milliseconds. */
     storeSilentMs: number;
-    /** Era of the store; 0 until it is restored from a copy for the first time. */
+    /** Era of the store; 0 while unknown. */
     storeEra: number;
     isAssigner: boolean;
     targets: Iterable<{ service: string; target: string; inFlight: number; limit: number | undefined }>;
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -241,14 +241,9 @@
         }
         const waitMs = lease.otherGrantsEndAt(holdMs) - clock.monotonicMs();
         if (waitMs > 0) {
-            logger.warn(
-                "The stored assignment may be out of date; waiting until the grants of other instances have ended.",
-                {
-                    service,
-                    era: this.era,
-                    waitMs: Math.ceil(waitMs),
-                },
-            );
+            const text =
+                "The stored assignment may be out of date; waiting until the grants of other instances have ended.";
+            logger.warn(text, { service, era: this.era, waitMs: Math.ceil(waitMs) });
             await this.pause(waitMs);
             return false;
         }
@@ -371,9 +366,10 @@
     private track(identity: string, listed: DirectoryTarget, now: number): TrackedTarget {
         const { holdMs = DEFAULT_HOLD_MS } = this.options;
         const { id, address } = listed.entry;
-        const earlier = [...this.tracked.values()].find(
-            ({ listed: { entry } }) => entry.id === id && entry.address === address,
-        );
+        // The latest start, as the record of each one includes that of the starts before it.
+        const earlier = [...this.tracked.values()]
+            .filter(({ listed: { entry } }) => entry.id === id && entry.address === address)
+            .at(-1);
         const grants = earlier?.grants.forNewProcess() ?? new GrantRecord(now, holdMs);
         const late = earlier?.late ?? new LateGrants(grants.endsAt() - now);
         if (earlier === undefined) {
