End the use of targets in time whose entries go after an outage (DRAIN)

What callers saw: nothing; requests were served by a target that had left.

Cause: after an outage of the store, a target without an entry stays usable for 1.7 s, in which living ones register again. That time counted from the moment at which the missing entry was read. Changes of targets are read together with a pause of 1.1 s, so an entry that was removed after the outage was in use for up to 2.8 s, beyond the 2 s that are allowed. The time now counts from the end of the outage, which every such removal follows. While the outage lasts for an instance it counts from the reading, as before.

--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -72,6 +72,20 @@
         clock.advance(3_000);
         expect(usable()).toEqual(["t1"]);
     });
+
+    it("doesn't keep a target whose entry goes after an outage beyond the time in which targets return", () => {
+        const { clock, directory, usable } = createDirectory();
+        directory.put(entry("t1"));
+        directory.setOutage(true);
+        clock.advance(3_000);
+        directory.setOutage(false);
+        // The change is read late, as changes are read together.
+        clock.advance(1_100);
+        directory.entryGone("t1");
+        expect(usable()).toEqual(["t1"]);
+        clock.advance(700);
+        expect(usable()).toEqual([]);
+    });
 });
 
 /**
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -172,7 +172,8 @@
         const graceMs = this.graceMs();
         if (target.usable && (this.outage || graceMs > 0)) {
             this.missing.add(target);
-            this.removeAfter(target, Math.max(graceMs, RETURN_GRACE_MS));
+            // The entry may have been removed after the outage, and the target must then be out of use in time.
+            this.removeAfter(target, this.outage ? RETURN_GRACE_MS : graceMs);
             return;
         }
         this.remove(id);
