End the runs of requests that no longer wait for the state of their target

A request whose connection broke waits until it is known whether its target crashed. If its dispatcher was disposed of in this time, or its caller left, nothing ended its run in the quarantine. For a suspect, that run counts forever: the instance lets no other copy of the request start, and no other suspect on that target, until the instance is restarted.

--- a/src/process/dispatch/quarantine.ts
+++ b/src/process/dispatch/quarantine.ts
@@ -39,7 +39,8 @@
     finish(): void;
     /**
      * Records the end of the request without a complete answer. After a broken connection, call it only if
-     * `classifyTargetFailure` has ruled out a crash.
+     * `classifyTargetFailure` has ruled out a crash, or if the request no longer waits for that decision. A crash that is
+     * reported within `abandonedRunMs` still counts.
      */
     abandon(): void;
 }
--- a/src/process/dispatch/unansweredSends.ts
+++ b/src/process/dispatch/unansweredSends.ts
@@ -39,14 +39,17 @@
         this.applyDecision(task, result, undefined);
     }
 
+    /** Removes a request whose caller has left. */
     delete(task: TargetTask): void {
-        this.waiting.delete(task);
+        if (this.waiting.delete(task)) {
+            task.quarantineRun?.abandon();
+        }
     }
 
     /** Removes and returns all waiting requests. */
     take(): TargetTask[] {
         const taken = [...this.waiting.keys()];
-        this.waiting.clear();
+        taken.forEach(task => this.delete(task));
         return taken;
     }
 
