Don't hand a target over while it isn't known whether it crashed

A request crashed a third target, though the design promises that it is refused after the second crash at the latest.

Only the dispatcher of a target knows what was in flight at its crash, and it learns of the crash up to 0.3 s after the connections broke. The handover waited for requests in flight only, and broken connections end that: the target was handed over at once to a dispatcher that knows nothing of the ended process.

The handover now isn't started, or is given up before its row is written, while requests wait for that decision (1.5 s at most). It is tried again 500 ms later.

A request that runs on for more than the 300 ms of the drain, and crashes the target after the handover, still isn't counted.

--- a/src/process/dispatch/__tests__/targetDispatcher.test.ts
+++ b/src/process/dispatch/__tests__/targetDispatcher.test.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_ABANDONED_RUN_MS, Quarantine } from "../quarantine.js";
 import { RetryBudget } from "../retryBudget.js";
 import { TargetDispatcher, type TargetDispatcherEvents } from "../targetDispatcher.js";
+import { CRASH_DETECTION_WAIT_MS } from "../unansweredSends.js";
 
 const SELF = "a1.9c";
 const SERVICE = { name: "stock", grants: "checked", slots: 6 } as BundleService;
@@ -144,4 +145,12 @@
         clock.advance(1);
         expect(isWaiting()).toBe(false);
     });
+
+    test("guards against a handover before it is known what crashed the target, and one that is put off forever", async () => {
+        expect(dispatcher.mayHaveCrashed).toBe(false);
+        await sendSuspect();
+        expect(dispatcher.mayHaveCrashed).toBe(true);
+        clock.advance(CRASH_DETECTION_WAIT_MS);
+        expect(dispatcher.mayHaveCrashed).toBe(false);
+    });
 });
--- a/src/process/dispatch/targetDispatcher.ts
+++ b/src/process/dispatch/targetDispatcher.ts
@@ -240,6 +240,14 @@
         return this.runs.abandonedUntil;
     }
 
+    /**
+     * Whether connections to the target broke and it isn't known yet whether it crashed. Only this dispatcher knows which
+     * requests it ran.
+     */
+    get mayHaveCrashed(): boolean {
+        return this.broken.awaitsTargetState;
+    }
+
     /** Number of requests that have arrived and not ended. */
     get openRequests(): number {
         return this.openTasks;
--- a/src/process/dispatch/unansweredSends.ts
+++ b/src/process/dispatch/unansweredSends.ts
@@ -39,6 +39,11 @@
         this.applyDecision(task, result, undefined);
     }
 
+    /** Whether requests wait until it is known whether their target crashed. */
+    get awaitsTargetState(): boolean {
+        return this.waiting.size > 0;
+    }
+
     /** Removes a request whose caller has left. */
     delete(task: TargetTask): void {
         if (this.waiting.delete(task)) {
--- a/src/process/ownership/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -629,7 +629,7 @@
 
     /** Hands over one target at a time once the set of candidates has been stable for long enough. */
     private handOverToPreferred(): void {
-        const { clock, membership } = this.options;
+        const { clock, membership, dispatchers } = this.options;
         const now = clock.monotonicMs();
         const candidates = membership.candidates().sort();
         if (candidates.join(" ") !== this.candidates) {
@@ -642,7 +642,8 @@
             return;
         }
         const movable = this.ownRows().filter(row => !this.busy.has(keyOf(row)) && !this.lost.has(keyOf(row)));
-        const plan = planHandOver(this.self(), candidates, movable);
+        const decided = movable.filter(row => dispatchers().get(keyOf(row))?.mayHaveCrashed !== true);
+        const plan = planHandOver(this.self(), candidates, decided);
         if (plan !== undefined) {
             this.lastHandOverAt = now;
             void this.handOverIfTableAnswers(plan.row, plan.to);
@@ -661,7 +662,8 @@
 
     /**
      * Makes another instance the dispatcher of a target. New requests are held, while requests in flight may finish
-     * here: the target, and so the owner of its keys, stays the same.
+     * here: the target, and so the owner of its keys, stays the same. A handover is given up while it isn't known whether
+     * the target crashed, because the next dispatcher couldn't tell which requests ran on it.
      */
     private async handOver(row: TargetRow, to: string): Promise<void> {
         const key = keyOf(row);
@@ -677,6 +679,10 @@
             if (current === undefined || dispatcher.row() === undefined) {
                 return;
             }
+            if (dispatcher.mayHaveCrashed) {
+                dispatcher.unholdAll();
+                return;
+            }
             const term = current.value.term + 1;
             const handOver = records.export(dispatcher.service, current.value.slices, key, term);
             const isAcknowledged = await transfer.sendRecords(to, {
@@ -685,7 +691,9 @@
                 load: dispatcher.loadReport(),
             });
             const written =
-                isAcknowledged && (await this.writeRow(current, { ...current.value, dispatcher: to, term }));
+                isAcknowledged &&
+                !dispatcher.mayHaveCrashed &&
+                (await this.writeRow(current, { ...current.value, dispatcher: to, term }));
             if (written) {
                 this.counters.handOvers++;
                 log.info("Handed over a target.", { target: row.target, to, term });
