--- a/test/support/executionChecker.ts
+++ b/test/support/executionChecker.ts
@@ -38,7 +38,7 @@
  * Builds executions from the events of all targets, sorted by start time.
  *
  * @example
- * const executions = executionsOf(logFiles.flatMap(readExecutionLog));
+ * const executions = executionsOf(logFiles.flatMap(file => readExecutionLog(file)));
  */
 export const executionsOf = (events: readonly ExecutionEvent[]): Execution[] => {
     const executions = new Map<string, Execution>();
