Keep answers that have started when their target is lost

Callers saw: an answer was broken off although its target had written all of it, or was alive and would have written the rest. Long answers of draining targets and of targets that were silent for a moment were lost.

Cause: a dispatcher that found a target lost aborted all its sends: when connections were refused, since the process had ended, and when the slices of a silent target had moved. What a process wrote before its end is still in the buffers of the connection, and a frozen target continues its answer. Neither kind of answer can be sent again by another target, so the abort only lost it.

Fix: only sends without any part of an answer are aborted. An answer that has started ends with its connection, or at its deadline as before. The price is that a caller of an answer whose connection has become silent learns of it at its deadline.

This is one cause of the failures of draining.test.ts.

--- a/src/process/dispatch/targetDispatcher.ts
+++ b/src/process/dispatch/targetDispatcher.ts
@@ -354,10 +354,11 @@
         this.scheduler.removeIf(isForeign).forEach(task => this.bounce(task));
         this.arrivals.tasks.take(isForeign).forEach(task => this.bounce(task));
         if (this.keeper.lost) {
-            // The lost target won't answer these requests, but their new owner can.
+            // The lost target won't answer these requests, but their new owner can. An answer that has started can't be
+            // continued by another target, and its rest may still arrive.
             this.runs
                 .all()
-                .filter(task => task.open.idempotent && isForeign(task))
+                .filter(task => task.open.idempotent && !task.hasAnswerStarted && isForeign(task))
                 .forEach(task => task.abortSend("moved"));
         }
         void this.keeper.announce();
@@ -561,8 +562,9 @@
         const { quarantine, log } = this.services;
         const brokenConnections = quarantine.openRuns(this.key, boot);
         const failure = classifyTargetFailure({ bootBefore: boot || undefined, probe, brokenConnections });
-        // Connections that have not yet reported their end belong to the ended process, too.
-        const open = this.runs.all();
+        // Connections that have not yet reported their end belong to the ended process, too. What it wrote before its
+        // end may still be in transit, so answers that have started are left to their connections and deadlines.
+        const unanswered = this.runs.all().filter(task => !task.hasAnswerStarted);
         if (failure === "crash") {
             this.counters.crashes++;
             quarantine.targetCrashed(this.key, boot).convicted.forEach(fingerprint =>
@@ -571,7 +573,7 @@
                 log.warn(`A request is quarantined after a second crash: ${fingerprint}.`),
             );
         }
-        open.forEach(task => task.abortSend("crash"));
+        unanswered.forEach(task => task.abortSend("crash"));
         this.broken.targetCrashed();
     }
 
--- a/test/support/failureSupport.ts
+++ b/test/support/failureSupport.ts
@@ -90,10 +90,15 @@
  * (await held.finish()).whole; // true
  */
 export class HeldAnswer {
+    private readonly chunks: Buffer[] = [];
+    private readonly unread: AsyncIterator<Buffer>;
+
     private constructor(
         private readonly response: IncomingMessage,
         private readonly expected: { path: string; bytes: number },
-    ) {}
+    ) {
+        this.unread = (response as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+    }
 
     static open(request: {
         address: string;
@@ -136,18 +141,27 @@
         return !this.response.destroyed;
     }
 
+    /** Reads at least the given number of bytes, or to the end if there are fewer. */
+    async read(bytes: number): Promise<void> {
+        for (let received = 0; received < bytes;) {
+            const next = await this.unread.next();
+            if (next.done) {
+                return;
+            }
+            this.chunks.push(next.value);
+            received += next.value.byteLength;
+        }
+    }
+
     /** Reads the rest of the answer. */
     async finish(): Promise<HeldResult> {
-        const chunks: Buffer[] = [];
         let error: string | undefined;
         try {
-            for await (const chunk of this.response as AsyncIterable<Buffer>) {
-                chunks.push(chunk);
-            }
+            await this.read(Infinity);
         } catch (caught) {
             error = caught instanceof Error ? caught.message : String(caught);
         }
-        const body = Buffer.concat(chunks);
+        const body = Buffer.concat(this.chunks);
         const whole = error === undefined && this.response.complete && body.length === this.expected.bytes;
         const isOwn = body.equals(taggedBody(this.expected.path, this.expected.bytes).subarray(0, body.length));
         return { whole, isOwn, bytes: body.length, error };
