Clear the suspicion of a request whose answer arrives whole after a crash

Callers would see: a download that was in transit when its draining target exited became a suspect for 10 minutes, and was quarantined if it was in flight at another such exit (not observed; read while tracing draining.test.ts).

Cause: an exit with requests in flight counts as a crash. Since answers that have started are kept at the loss of their target, such a request can finish after the crash, but then its run had already ended and its finish had no effect.

Evidence: quarantine.test.ts, "guards against suspecting a request whose answer was still in transit when its target had ended", failed before: "suspect" where "clear" was expected.

Fix: a complete answer clears the suspicion of its request also after the crash, as it does while the run counts. A conviction by a second crash isn't lifted.

--- a/src/process/dispatch/__tests__/quarantine.test.ts
+++ b/src/process/dispatch/__tests__/quarantine.test.ts
@@ -69,6 +69,20 @@
         expect([b, c].map(fingerprint => quarantine.stateOf(fingerprint))).toEqual(["suspect", "clear"]);
     });
 
+    test("guards against suspecting a request whose answer was still in transit when its target had ended", () => {
+        let ends = 0;
+        const clock = new ManualClock();
+        const quarantine = new Quarantine({ clock, onSuspectEnd: () => ends++ });
+        const inTransit = run(quarantine.start(b, "t1", "boot1"));
+        run(quarantine.start(c, "t1", "boot1"));
+        expect(quarantine.targetCrashed("t1", "boot1")).toEqual({ suspected: [b, c], convicted: [] });
+        inTransit.finish();
+        expect([b, c].map(fingerprint => quarantine.stateOf(fingerprint))).toEqual(["clear", "suspect"]);
+        expect(ends).toBe(1);
+        run(quarantine.start(b, "t2", "boot1"));
+        expect(quarantine.targetCrashed("t2", "boot1").convicted).toEqual([]);
+    });
+
     test("guards against missing requests abandoned just before the crash, and against waiting forever", () => {
         const clock = new ManualClock();
         const quarantine = new Quarantine({ clock });
--- a/src/process/dispatch/quarantine.ts
+++ b/src/process/dispatch/quarantine.ts
@@ -147,10 +147,10 @@
             type: "run",
             run: {
                 finish: () => {
-                    if (this.endRun(target, run)) {
-                        if (this.clearSuspicion(fingerprint) || run.isSuspect) {
-                            this.onSuspectEnd();
-                        }
+                    // The rest of an answer may arrive after the end of its target has ended the run.
+                    const wasSuspectRun = this.endRun(target, run) && run.isSuspect;
+                    if (this.clearSuspicion(fingerprint) || wasSuspectRun) {
+                        this.onSuspectEnd();
                     }
                 },
                 abandon: () => this.abandon(target, run),
