Keep the slices of a lost target while the table doesn't answer

Callers saw: `deadline-passed` for all keys of a target until the end of an outage of the table, although the target answered again.

Cause: the slices of a lost target were transferred without asking whether the table answers. A transfer holds the requests for its slices until the result of its write is known, so a target that was silent for 700 ms in an outage in which calls hang stayed held until the outage's end. Moves, handovers, takeovers and removals already ask first.

Fix: the transfer waits until the table answers a read, and isn't made if the target has answered by then. A really lost target can't be moved in an outage anyway.

--- a/src/process/ownership/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -380,7 +380,7 @@
     }
 
     private async spreadLost(dispatcher: TargetDispatcher, state: LostTarget): Promise<void> {
-        const { clock, transfer, records, log, changed, grantMarginMs } = this.options;
+        const { clock, transfer, records, log, changed, grantMarginMs, membership } = this.options;
         const row = dispatcher.row();
         if (row === undefined || row.slices.length === 0) {
             return;
@@ -403,6 +403,15 @@
             await this.pause(grantMarginMs);
             records.fenced(dispatcher.service, row.slices);
         }
+        // A transfer holds requests for its slices until the result of its write is known, which takes long while the
+        // table doesn't answer, and the target may answer before.
+        if (!(await membership.isTableReachable())) {
+            await this.pause(DRAIN_STEP_MS);
+            return;
+        }
+        if (!dispatcher.keeper.lost) {
+            return;
+        }
         const given = this.spread(dispatcher, row.slices);
         if (given.size === 0) {
             log.warn("No target can take the slices of a lost one.", { target: row.target });
--- a/test/failure/platformDown.test.ts
+++ b/test/failure/platformDown.test.ts
@@ -13,7 +13,7 @@
 /** Time for which the refusals are checked after they have begun, in milliseconds. */
 const REFUSAL_WATCH_MS = 4_000;
 const KEYS = faultMixKeys(8);
-/** Longer than the suspicion time and the promise, so that the other members react, in milliseconds. */
+/** Longer than the suspicion time, the promise and a grant, so that the other members or the dispatcher react, in ms. */
 const FREEZE_MS = 2_500;
 type Key = (typeof KEYS)[number];
 
@@ -38,6 +38,19 @@
 const dispatcherNameOf = (replica: TableReplica, { service, key }: Key): string | undefined =>
     replica.sliceMap(service).ownerOf(positionOf(service, key))?.dispatcher.split(".")[0];
 
+/** Ends an outage of the platform; all keys must have been served before, and assignments be in place after it. */
+const expectServedInOutage = async (): Promise<void> => {
+    let problems: string[] = [];
+    await waitFor(async () => {
+        problems = await answerProblems(await instanceRows(router.instances[0]), router.instances[0], client, KEYS);
+        return problems.length === 0;
+    }).catch(() => undefined);
+    await setPlatform("off");
+    expect(problems).toEqual([]);
+    await inPlace();
+    expect(calls.violations()).toEqual([]);
+};
+
 test.each(["unavailable", "hang"] as const)(
     "the platform's outage (%s) doesn't stop any key from being served",
     async outage => {
@@ -80,15 +93,20 @@
         frozen?.daemon.program.signal("SIGSTOP");
         await pause(FREEZE_MS);
         frozen?.daemon.program.signal("SIGCONT");
-        let problems: string[] = [];
-        await waitFor(async () => {
-            problems = await answerProblems(await instanceRows(router.instances[0]), router.instances[0], client, KEYS);
-            return problems.length === 0;
-        }).catch(() => undefined);
-        await setPlatform("off");
-        expect(problems).toEqual([]);
-        await inPlace();
-        expect(calls.violations()).toEqual([]);
+        await expectServedInOutage();
+    },
+    60_000,
+);
+
+test.each(["unavailable", "hang"] as const)(
+    "a target that was silent in an outage (%s) serves its keys again before the platform is back",
+    async outage => {
+        const target = router.cluster.targets.find(({ service }) => service === "orders");
+        await setPlatform(outage);
+        target?.program.signal("SIGSTOP");
+        await pause(FREEZE_MS);
+        target?.program.signal("SIGCONT");
+        await expectServedInOutage();
     },
     60_000,
 );
