Kill a member whose loss leaves checked and unchecked targets

Developers saw: platformDown.test.ts, the platform down and a member killed: no checked target was left whose dispatcher lives (expected > 0, received 0).

Cause: the test chose a member whose loss leaves an unchecked target, but not one that also leaves a checked target. Dispatchers are chosen by a hash with random incarnations.

Slices that have moved make it more likely; the failed run wasn't replayed.

Fix: the member is chosen so that targets of both kinds are left. One of three instances always fulfils that: if one dispatches all of one kind and another all of the other kind, the third does. What the test expects is unchanged.

--- a/test/failure/platformDown.test.ts
+++ b/test/failure/platformDown.test.ts
@@ -13,6 +13,8 @@
 /** Time for which the refusals are checked after they have begun, in milliseconds. */
 const REFUSAL_WATCH_MS = 4_000;
 const KEYS = faultMixKeys(8);
+const CHECKED = KEYS.filter(({ service }) => service !== "labels");
+const UNCHECKED = KEYS.filter(({ service }) => service === "labels");
 /** Longer than the suspicion time, the promise and a grant, so that the other members or the dispatcher react, in ms. */
 const FREEZE_MS = 2_500;
 type Key = (typeof KEYS)[number];
@@ -113,18 +115,21 @@
 
 test("with the platform down and a member killed, unchecked targets don't run under an expired lease, and others continue", async () => {
     const replica = await router.rows();
-    const dispatchers = new Set(KEYS.map(key => dispatcherNameOf(replica, key)));
-    // The other instances must still dispatch for unchecked targets after the loss.
+    const isOthers = (key: Key, name: string) => dispatcherNameOf(replica, key) !== name;
+    // Incarnations are random, so the hash may give one instance all targets of a kind. The other instances must still
+    // dispatch for checked and for unchecked targets after the loss; of three instances, one fulfils that.
     const killed = router.instances.find(({ name }) =>
-        KEYS.some(key => key.service === "labels" && ![undefined, name].includes(dispatcherNameOf(replica, key))),
+        [CHECKED, UNCHECKED].every(keys =>
+            keys.some(key => isOthers(key, name) && dispatcherNameOf(replica, key) !== undefined),
+        ),
     );
     if (killed === undefined) {
-        throw new Error(`All unchecked targets have one of the dispatchers ${[...dispatchers].join(", ")}.`);
+        const dispatchers = KEYS.map(key => `${key.service} ${key.key}: ${dispatcherNameOf(replica, key)}`);
+        throw new Error(`The loss of any instance leaves one kind of targets without a dispatcher. ${dispatchers}`);
     }
     const others = router.instances.filter(instance => instance !== killed);
-    const isOthers = (key: Key) => dispatcherNameOf(replica, key) !== killed.name;
-    const checked = KEYS.filter(key => key.service !== "labels" && isOthers(key));
-    const unchecked = KEYS.filter(key => key.service === "labels" && isOthers(key));
+    const checked = CHECKED.filter(key => isOthers(key, killed.name));
+    const unchecked = UNCHECKED.filter(key => isOthers(key, killed.name));
     expect(checked.length).toBeGreaterThan(0);
     expect(unchecked.length).toBeGreaterThan(0);
     await setPlatform("unavailable");
