Heed what targets state in their answers: leaving and rests

What callers saw: requests were sent to targets that had said in their answers that they leave, and, as fast as callers asked, to targets that had refused with 503 and Retry-After. Nothing read either statement.

TargetIntake is the model of what a target takes: that it leaves, that it rests, and its limit, which moves there. It belongs to one start of a target and is kept by TargetDirectory also while the start has no entry, so an entry that still says ready, or is gone and comes back, recalls nothing. decideIntake decides for a request. A leaving target gets nothing that another one serves; the owner of a key, or the last target, is used for requests that arrive within 0.8 of drain_ms, then refused at once. A rest closes a target for the instance that was told; what no target takes is refused with the shortest rest and a random part, so that callers don't return together. The log line of a request names the targets that rested or left, and explain shows their lines.

Targets without these headers cost two property reads for each candidate.

--- a/src/commands/explainRequest.ts
+++ b/src/commands/explainRequest.ts
@@ -41,8 +41,8 @@
 
 const targetsOf = (line: LogLine): Set<string> =>
     new Set([
-        ...String(line.targets ?? "")
-            .split(",")
+        ...[line.targets, line.resting, line.leaving]
+            .flatMap(list => String(list ?? "").split(","))
             .filter(target => target !== ""),
         ...targetsIn(String(line.detail ?? "")),
     ]);
@@ -73,7 +73,7 @@
 
 /**
  * Returns the lines that explain how a request ended, ordered by time: its own lines; lines of any instance about the
- * targets that it was sent to and about the owners of its key, the latter also shortly after its end; and lines about the
+ * targets that it was sent to, that rested or left, and about the owners of its key, the latter also shortly after its end; and lines about the
  * state of the instance that served it.
  *
  * @example
--- a/src/process/gateway/__tests__/gatewayTarget.test.ts
+++ b/src/process/gateway/__tests__/gatewayTarget.test.ts
@@ -3,27 +3,32 @@
 import { KEY_COUNT, type KeyRange } from "../keyMap.js";
 import { KeyLoads, planMoves, type PlannedTarget } from "../planMoves.js";
 import type { DirectoryTarget } from "../targetDirectory.js";
+import { TargetIntake } from "../targetIntake.js";
 
 const createTarget = (id: string) => {
     const clock = new ManualClock();
     const entry = { id, service: "stock", address: "127.0.0.1:1", slots: 3, warmupLeftMs: 0, startedAtMs: 1 };
-    return { clock, target: new GatewayTarget({ entry } as unknown as DirectoryTarget, clock, true, 4) };
+    return {
+        clock,
+        target: new GatewayTarget({ entry, intake: new TargetIntake() } as unknown as DirectoryTarget, clock, true, 4),
+    };
 };
 
 describe("a target that states a limit", () => {
     it("is limited until it answers a request without one that was sent after the last statement", () => {
         const { clock, target } = createTarget("t1");
+        const { intake } = target.listed;
         clock.advance(100);
-        expect([target.stateLimit(2), target.stateLimit(2), target.stateLimit(3)]).toEqual([true, false, true]);
+        expect([2, 2, 3].map(perSecond => intake.stateLimit(perSecond, clock))).toEqual([true, false, true]);
         clock.advance(100);
-        expect([target.endLimit(90), target.limit?.perSecond]).toEqual([false, 3]);
-        expect([target.endLimit(150), target.limit]).toEqual([true, undefined]);
-        expect(target.endLimit(150)).toBe(false);
+        expect([intake.endLimit(90), target.limit?.perSecond]).toEqual([false, 3]);
+        expect([intake.endLimit(150), target.limit]).toEqual([true, undefined]);
+        expect(intake.endLimit(150)).toBe(false);
     });
 
     it("keeps a limit above 0, because its end is noticed by an answer only", () => {
-        const { target } = createTarget("t1");
-        target.stateLimit(0);
+        const { clock, target } = createTarget("t1");
+        target.listed.intake.stateLimit(0, clock);
         expect(target.limit?.perSecond).toBeGreaterThan(0);
     });
 
--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -8,6 +8,7 @@
 import { ASSIGNMENT_TABLE, KeyAssigner } from "../keyAssigner.js";
 import { KEY_COUNT, type KeyAssignment } from "../keyMap.js";
 import type { DirectoryTarget } from "../targetDirectory.js";
+import { TargetIntake } from "../targetIntake.js";
 
 const HOLD_MS = 10_000;
 
@@ -16,6 +17,7 @@
     usable: true,
     gone: false,
     seenAt: 0,
+    intake: new TargetIntake(),
 });
 
 /** The targets of the running test. */
--- a/src/process/gateway/__tests__/requestLog.test.ts
+++ b/src/process/gateway/__tests__/requestLog.test.ts
@@ -12,7 +12,14 @@
     const log = new RequestLog({
         clock,
         logger: { ...SILENT_LOGGER, info: (message, fields = {}) => void lines.push([message, fields]) },
-        serviceState: () => ({ config: 12, fence: 7, ownersAgeMs: 400, storeSilentMs: 90 }),
+        serviceState: () => ({
+            config: 12,
+            fence: 7,
+            ownersAgeMs: 400,
+            storeSilentMs: 90,
+            resting: undefined,
+            leaving: "t9",
+        }),
     });
     let count = 0;
     const end = (outcome: RequestOutcome, attempts: GatewayRequest["attempts"] = []) => {
--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -23,7 +23,10 @@
         checkInMs: 1_000,
         onChange: () => undefined,
     });
-    const usable = (service = "stock") => directory.usable(service).map(target => target.entry.id);
+    const usable = (service = "stock") =>
+        [...directory.all()]
+            .filter(({ entry, usable }) => entry.service === service && usable)
+            .map(({ entry }) => entry.id);
     return { clock, directory, usable };
 };
 
--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -5,6 +5,7 @@
 import { GatewayTarget } from "../gatewayTarget.js";
 import { KEY_COUNT, KeyMap } from "../keyMap.js";
 import type { DirectoryTarget } from "../targetDirectory.js";
+import { TargetIntake } from "../targetIntake.js";
 import { TargetPlacement } from "../targetPlacement.js";
 
 const START_MS = 1_000;
@@ -13,6 +14,7 @@
     const clock = new ManualClock();
     const listed = {
         entry: { id: "t1", service: "stock", address: "127.0.0.1:1", slots: 4, warmupLeftMs: 0, startedAtMs: START_MS },
+        intake: new TargetIntake(),
     } as unknown as DirectoryTarget;
     const owner = new GatewayTarget(listed, clock, true, 4);
     const range = { from: 0, to: KEY_COUNT - 1, target: "t1", startedAtMs: START_MS, address: "", fence: 1 };
@@ -22,6 +24,7 @@
         targets: () => [owner],
         owner: () => (view.isListed ? owner : undefined),
         ownersAreFresh: () => view.isFresh,
+        drainMs: 2_000,
         random: () => 0.5,
     });
     const place = (unreached: GatewayTarget[] = []): Placement =>
--- /dev/null
+++ b/src/process/gateway/decideIntake.ts
@@ -0,0 +1,52 @@
+import type { StatedRest } from "./targetIntake.js";
+
+/**
+ * Share of the drain time after a target's statement that it leaves in which it may get requests that no other target serves. The
+ * rest is reserved for the way of a request to the target.
+ */
+const DRAIN_SHARE = 0.8;
+/** Time after which callers may return that were refused because of a target with one request at a time, in milliseconds. */
+const TRIAL_PAUSE_MS = 500;
+
+/** Input of the decision. Times are monotonic, in milliseconds. */
+export interface IntakeInput {
+    now: number;
+    /** Time at which the request arrived. */
+    arrivedAt: number;
+    /** Time at which the target stated that it leaves. */
+    leavingAt: number | undefined;
+    /** Time for which a leaving target may get requests, in milliseconds. */
+    drainMs: number;
+    rest: StatedRest | undefined;
+    /** Requests of this instance that are in flight at the target. */
+    inFlight: number;
+}
+
+/** Whether a target takes a request from this instance. */
+export type Intake =
+    | { type: "open" }
+    /** It leaves, so it is used only for requests that no other target serves. */
+    | { type: "last-choice" }
+    | { type: "leaving" }
+    /** It has stated a rest, which lasts for so many milliseconds. */
+    | { type: "resting"; forMs: number };
+
+/**
+ * Decides whether a target takes a request, by what it has stated. After a rest that was stated longer than a rest may be, the
+ * target gets one request at a time until it answers one without a rest.
+ *
+ * @example
+ * decideIntake({ now: 900, arrivedAt: 900, leavingAt: 100, drainMs: 2_000, rest: undefined, inFlight: 0 }); // last-choice
+ */
+export const decideIntake = ({ now, arrivedAt, leavingAt, drainMs, rest, inFlight }: IntakeInput): Intake => {
+    if (leavingAt !== undefined && arrivedAt - leavingAt >= drainMs * DRAIN_SHARE) {
+        return { type: "leaving" };
+    }
+    if (rest !== undefined && now < rest.until) {
+        return { type: "resting", forMs: rest.until - now };
+    }
+    if (rest !== undefined && now < rest.statedUntil && inFlight > 0) {
+        return { type: "resting", forMs: Math.min(TRIAL_PAUSE_MS, rest.statedUntil - now) };
+    }
+    return { type: leavingAt === undefined ? "open" : "last-choice" };
+};
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,6 +1,6 @@
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
-import type { CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
+import type { AnswerFacts, CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest, type ExcessivePart, type GatewayServices } from "../../request/gatewayRequest.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
@@ -17,7 +17,7 @@
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
-import type { GatewayTarget, StatedLimit } from "./gatewayTarget.js";
+import type { GatewayTarget } from "./gatewayTarget.js";
 import { GatewayTargets } from "./gatewayTargets.js";
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
 import { KeyAssigners } from "./keyAssigners.js";
@@ -33,6 +33,8 @@
 import type { StoredRow } from "./rowStore.js";
 import { SharedLoad } from "./sharedLoad.js";
 import { TableFollower } from "./tableFollower.js";
+import { isAccepting } from "./targetDirectory.js";
+import type { StatedLimit, TargetIntake } from "./targetIntake.js";
 import { TargetPlacement } from "./targetPlacement.js";
 
 /**
@@ -80,6 +82,8 @@
     checkInMs: number;
     /** Maximum time for which targets may be granted keys, in milliseconds. */
     maxHoldMs: number;
+    /** Time for which a leaving target may get requests, in milliseconds. */
+    drainMs: number;
     /** Limit on the retries of all instances together. */
     retryLimit: RetryLimit;
     /** Whether the whole system starts for the first time, so that no target holds keys yet. */
@@ -166,17 +170,19 @@
             admittingAddress: () => parsePeerAddress(this.assigners.lease.assignerAddress),
             send: (address, content) => this.peers.send(address, content),
             unanswered: () => this.assigners.lease.lookAgain(),
-            limitEnded: ({ id, startedAtMs }, before) => this.targets.get(id, startedAtMs)?.endLimit(before),
+            limitEnded: ({ id, startedAtMs }, before) =>
+                this.targets.get(id, startedAtMs)?.listed.intake.endLimit(before),
         });
         this.peers.handle(this.limits.receive);
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
             keyMap: service => this.owners.of(service),
-            targets: service => this.targets.usable(service),
+            targets: service => this.targets.accepting(service),
             owner: (id, startedAtMs) => {
                 const target = this.targets.get(id, startedAtMs);
-                return target?.listed.usable === true ? target : undefined;
+                return target !== undefined && isAccepting(target.listed) ? target : undefined;
             },
+            drainMs: options.drainMs,
             ownersAreFresh: () => this.ownersFollower.isFresh,
             random: Math.random,
         });
@@ -256,7 +262,8 @@
                 return this.owners.onChange(service, callback);
             },
             permit: (target, limit, callback) => this.permit(target, limit, callback),
-            limitStated: (target, perSecond, sentAt) => this.limitStated(target, perSecond, sentAt),
+            takes: (target, call) => this.placement.takes(target, call),
+            answerStated: (target, facts, sentAt) => this.answerStated(target, facts, sentAt),
             takeRetry: service => {
                 const isGranted = this.retriesOf(service).take();
                 this.retryMeter.budgeted(service, isGranted);
@@ -398,10 +405,48 @@
         });
     }
 
+    /** Applies what an answer to a request that was sent at `sentAt` states of its target. */
+    private answerStated(target: GatewayTarget, facts: AnswerFacts, sentAt: number): void {
+        const { leaving, restMs, limitPerSecond, signed, answeredBy } = facts;
+        if (answeredBy !== undefined && answeredBy !== target.id) {
+            return;
+        }
+        const { intake } = target.listed;
+        if (leaving) {
+            this.leavingStated(target);
+        }
+        if (restMs !== undefined) {
+            this.restStated(target, restMs);
+        } else if (intake.rest !== undefined) {
+            intake.endRest(sentAt);
+        }
+        if (limitPerSecond !== undefined || (intake.limit !== undefined && signed)) {
+            this.limitStated(target, limitPerSecond, sentAt);
+        }
+    }
+
+    private leavingStated({ listed }: GatewayTarget): void {
+        if (this.targets.directory.stateLeaving(listed)) {
+            this.metrics.counter("target_statements_total", { service: listed.entry.service, kind: "leaving" }).add();
+        }
+    }
+
+    private restStated({ listed }: GatewayTarget, restMs: number): void {
+        const { id, service } = listed.entry;
+        if (listed.intake.stateRest(restMs, this.options.clock)) {
+            this.metrics.counter("target_statements_total", { service, kind: "rest" }).add();
+            this.options
+                .loggers("dispatch")
+                .info(`Target ${id} takes no requests from this instance for a while.`, { service, restMs });
+        }
+    }
+
     /** Applies what an answer to a request that was sent at `sentAt` says of its target's limit. */
     private limitStated(target: GatewayTarget, perSecond: number | undefined, sentAt: number): void {
         const { id, service, startedAtMs } = target.listed.entry;
-        const hasChanged = perSecond === undefined ? target.endLimit(sentAt) : target.stateLimit(perSecond);
+        const { intake } = target.listed;
+        const hasChanged =
+            perSecond === undefined ? intake.endLimit(sentAt) : intake.stateLimit(perSecond, this.options.clock);
         if (!hasChanged) {
             return;
         }
@@ -435,12 +480,20 @@
 
     private serviceState(service: string): ServiceState {
         const owners = this.owners.of(service);
+        const now = this.options.clock.monotonicMs();
+        const idsOf = (isMeant: (intake: TargetIntake) => boolean): string | undefined =>
+            this.targets
+                .accepting(service)
+                .filter(({ listed }) => isMeant(listed.intake))
+                .map(({ id }) => id)
+                .join(",") || undefined;
         return {
             config: this.config.current?.config.version,
             fence: owners?.assignment.fence,
-            ownersAgeMs:
-                owners === undefined ? undefined : Math.round(this.options.clock.monotonicMs() - owners.learnedAtMs),
+            ownersAgeMs: owners === undefined ? undefined : Math.round(now - owners.learnedAtMs),
             storeSilentMs: Math.round(this.storeSilentMs()),
+            resting: idsOf(({ rest }) => rest !== undefined && now < rest.until),
+            leaving: idsOf(({ leavingAt }) => leavingAt !== undefined),
         };
     }
 
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -2,8 +2,10 @@
 import type { ReportedLoad } from "../../request/gatewayCall.js";
 import type { Clock } from "../runtime/clock.js";
 import type { PlacementCandidate } from "./chooseTarget.js";
+import { decideIntake, type Intake } from "./decideIntake.js";
 import type { TargetReport } from "./loadReport.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
+import type { StatedLimit } from "./targetIntake.js";
 
 /** Weight of the newest sample in moving averages of times and failures. */
 const SAMPLE_WEIGHT = 0.12;
@@ -23,19 +25,9 @@
 const MIN_SUSPICION_MS = 400;
 const MAX_SUSPICION_MS = 3_000;
 
-/** Least limit that is kept, in requests per second. Without any answers, the end of a limit wouldn't be noticed. */
-const MIN_LIMIT_PER_SECOND = 0.1;
 /** Ratio of load to slots that is assumed of a target whose limit refuses callers. */
 const EXCEEDED_PRESSURE = 1;
 
-/** A limit that a target has stated. */
-export interface StatedLimit {
-    /** Requests that it takes from all instances together, per second. */
-    perSecond: number;
-    /** Monotonic time in milliseconds at which it was last stated. */
-    statedAt: number;
-}
-
 /** This instance's view of one target: its connections, load, speed and failures. */
 export class GatewayTarget {
     readonly connections: TargetConnections;
@@ -52,7 +44,6 @@
     private unanswered = 0;
     private suspectUntil = -Infinity;
     private readonly warmUntil: number;
-    private statedLimit: StatedLimit | undefined;
 
     constructor(
         readonly listed: DirectoryTarget,
@@ -80,27 +71,20 @@
 
     /** The limit that the target states; `undefined` while it states none. */
     get limit(): StatedLimit | undefined {
-        return this.statedLimit;
-    }
-
-    /** Applies a stated limit in requests per second. Returns whether it has changed. */
-    stateLimit(stated: number): boolean {
-        const perSecond = Math.max(MIN_LIMIT_PER_SECOND, stated);
-        const hasChanged = this.statedLimit?.perSecond !== perSecond;
-        this.statedLimit = { perSecond, statedAt: this.clock.monotonicMs() };
-        return hasChanged;
+        return this.listed.intake.limit;
     }
 
     /**
-     * Drops the limit because of an answer without one to a request that was sent at `sentAt`. Returns whether there was a
-     * limit; one that was stated after the request was sent holds.
+     * Whether the target takes a request that arrived at a monotonic time in milliseconds. `drainMs` is the time for which a
+     * leaving target may get requests, in milliseconds.
      */
-    endLimit(sentAt: number): boolean {
-        if (this.statedLimit === undefined || this.statedLimit.statedAt >= sentAt) {
-            return false;
+    intakeFor(arrivedAt: number, drainMs: number): Intake {
+        const { leavingAt, rest } = this.listed.intake;
+        if (leavingAt === undefined && rest === undefined) {
+            return { type: "open" };
         }
-        this.statedLimit = undefined;
-        return true;
+        const now = this.clock.monotonicMs();
+        return decideIntake({ now, arrivedAt, leavingAt, drainMs, rest, inFlight: this.inFlight });
     }
 
     started(): void {
--- a/src/process/gateway/gatewayTargets.ts
+++ b/src/process/gateway/gatewayTargets.ts
@@ -21,7 +21,7 @@
  *
  * @example
  * targets.listed(rows);
- * targets.usable("stock").map(target => target.candidate());
+ * targets.accepting("stock").map(target => target.candidate());
  */
 export class GatewayTargets {
     readonly directory: TargetDirectory;
@@ -52,9 +52,9 @@
         return this.views.values();
     }
 
-    /** Usable targets of a service. */
-    usable(service: string): GatewayTarget[] {
-        return this.directory.usable(service).map(listed => this.view(listed));
+    /** Targets of a service whose entries don't say that they leave. */
+    accepting(service: string): GatewayTarget[] {
+        return this.directory.accepting(service).map(listed => this.view(listed));
     }
 
     /** The target with this identifier and start time, if it is registered. */
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -21,6 +21,7 @@
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 import type { TargetEntry } from "./targetEntry.js";
+import { TargetIntake } from "./targetIntake.js";
 
 /** Table of the assignments, which all instances follow. */
 export const ASSIGNMENT_TABLE = "sassafrasloom";
@@ -398,7 +399,8 @@
             }
             const { service } = this.options;
             const entry = { id, service, address, domain: "", slots: 1, draining: true, warmupLeftMs: 0, startedAtMs };
-            this.track(identity, { entry, usable: false, gone: true, seenAt: now }, now).goneAt = now;
+            const listed = { entry, usable: false, gone: true, seenAt: now, intake: new TargetIntake() };
+            this.track(identity, listed, now).goneAt = now;
         }
     }
 
--- a/src/process/gateway/requestLog.ts
+++ b/src/process/gateway/requestLog.ts
@@ -22,6 +22,9 @@
     ownersAgeMs: number | undefined;
     /** Time since the store last answered, in milliseconds. */
     storeSilentMs: number;
+    /** Targets that have stated a rest and that they leave, separated by commas; `undefined` if there are none. */
+    resting: string | undefined;
+    leaving: string | undefined;
 }
 
 const attemptText = ({ target, startedMs, durationMs, load, end, next }: AttemptRecord): string => {
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -2,6 +2,7 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { TargetEntry } from "./targetEntry.js";
+import { TargetIntake } from "./targetIntake.js";
 
 /**
  * Time after a store outage in which entries that expired meanwhile may be registered again, in milliseconds. It is below
@@ -19,16 +20,34 @@
 /** A target and its state in the directory. */
 export interface DirectoryTarget {
     entry: TargetEntry;
-    /** Whether new requests may be sent to it. */
+    /** Whether new requests and keys may be sent to it. */
     usable: boolean;
     /** Whether its entry was removed or another process has its address; it may still run for a while. */
     gone: boolean;
     /** Monotonic time in milliseconds at which its entry was first seen. */
     seenAt: number;
+    /** What its answers have stated; kept for its start, also while it has no entry. */
+    intake: TargetIntake;
 }
 
+/** What is remembered of a start that has departed. */
+interface DepartedStart {
+    startedAtMs: number;
+    draining: boolean;
+    intake: TargetIntake;
+}
+
+/**
+ * Whether a target's entry lets it get requests.
+ *
+ * @example
+ * isAccepting({ entry: { ...entry, draining: true }, gone: false, ... }); // false
+ */
+export const isAccepting = ({ entry, gone }: DirectoryTarget): boolean => !entry.draining && !gone;
+
 /**
- * The registered targets by their identifiers. A target that was draining in one start stays so for that start.
+ * The registered targets by their identifiers. A target that was draining in one start, or has stated that it leaves, stays so
+ * for that start.
  *
  * The store may be restored from a copy, whose entries are older than what was read before. An entry of the copy doesn't bring
  * back a target that has departed, nor an earlier start of a target; one that is written or still there after the restore
@@ -37,7 +56,7 @@
  * @example
  * const directory = new TargetDirectory({ clock, logger, onChange });
  * directory.put(entry);
- * directory.usable("stock"); // [{ entry, usable: true, ... }]
+ * directory.accepting("stock"); // [{ entry, usable: true, ... }]
  */
 export class TargetDirectory {
     /** Targets whose entries disappeared around an outage, until these return or the grace period ends. */
@@ -45,7 +64,7 @@
     private readonly targets = new Map<string, DirectoryTarget>();
     private readonly byService = new Map<string, Set<DirectoryTarget>>();
     /** Starts that have departed, by identifier, oldest first. */
-    private readonly departed = new Map<string, { startedAtMs: number; draining: boolean }>();
+    private readonly departed = new Map<string, DepartedStart>();
     /** Entries of a copy that don't count yet, by identifier. */
     private doubted = new Map<string, TargetEntry>();
     private cancelDoubt: TimerCancellation = () => undefined;
@@ -72,9 +91,23 @@
         return this.targets.get(id);
     }
 
-    /** Targets of a service that accept new requests. */
-    usable(service: string): DirectoryTarget[] {
-        return [...(this.byService.get(service) ?? [])].filter(({ usable }) => usable);
+    /** Targets of a service whose entries don't say that they leave; their answers may. */
+    accepting(service: string): DirectoryTarget[] {
+        return [...(this.byService.get(service) ?? [])].filter(target => isAccepting(target));
+    }
+
+    /** Applies a target's statement that it leaves. Returns whether it is the first one of its start. */
+    stateLeaving(target: DirectoryTarget): boolean {
+        if (!target.intake.stateLeaving(this.options.clock)) {
+            return false;
+        }
+        const { id, service } = target.entry;
+        this.options.logger.info(`Target ${id} states that it leaves.`, { service });
+        if (target.usable) {
+            target.usable = false;
+            this.options.onChange(target);
+        }
+        return true;
     }
 
     /** Sets whether calls to the store fail; targets whose entries expire during an outage aren't removed at once. */
@@ -134,15 +167,17 @@
     put(written: TargetEntry): void {
         this.doubted.delete(written.id);
         const entry = { ...written, draining: written.draining || this.wasDraining(written) };
+        const departed = this.departed.get(entry.id);
         this.departed.delete(entry.id);
         const known = this.targets.get(entry.id);
         if (known !== undefined && known.entry.startedAtMs !== entry.startedAtMs) {
             this.remove(entry.id);
         }
-        const target = this.targets.get(entry.id) ?? this.add(entry);
+        const intake = departed?.startedAtMs === entry.startedAtMs ? departed.intake : new TargetIntake();
+        const target = this.targets.get(entry.id) ?? this.add(entry, intake);
         const wasUsable = target.usable;
         target.entry = entry;
-        target.usable = !entry.draining && !target.gone;
+        target.usable = isAccepting(target) && target.intake.leavingAt === undefined;
         this.endOthersAtAddress(target);
         if (known === undefined || wasUsable !== target.usable) {
             const { id, service, draining, address, domain } = entry;
@@ -211,9 +246,9 @@
         }
     }
 
-    private add(entry: TargetEntry): DirectoryTarget {
+    private add(entry: TargetEntry, intake: TargetIntake): DirectoryTarget {
         const seenAt = this.options.clock.monotonicMs();
-        const target: DirectoryTarget = { entry, usable: false, gone: false, seenAt };
+        const target: DirectoryTarget = { entry, usable: false, gone: false, seenAt, intake };
         this.targets.set(entry.id, target);
         const siblings = this.byService.get(entry.service) ?? new Set();
         this.byService.set(entry.service, siblings.add(target));
@@ -240,14 +275,14 @@
             this.targets.delete(id);
         }
         this.byService.get(service)?.delete(target);
-        this.recordDeparture(target.entry);
+        this.recordDeparture(target);
         this.options.logger.info(`Target ${id} has left.`, { service, address, cause });
         this.options.onChange(target);
     }
 
-    private recordDeparture({ id, startedAtMs, draining }: TargetEntry): void {
+    private recordDeparture({ entry: { id, startedAtMs, draining }, intake }: DirectoryTarget): void {
         this.departed.delete(id);
-        this.departed.set(id, { startedAtMs, draining });
+        this.departed.set(id, { startedAtMs, draining, intake });
         const [oldest] = this.departed.keys();
         if (this.departed.size > MAX_DEPARTED) {
             this.departed.delete(oldest);
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -1,9 +1,11 @@
 import type { AttemptEnd } from "../../request/decideAfterAttempt.js";
 import type { Placement, PlacementQuery } from "../../request/gatewayRequest.js";
 import { refuse } from "../../request/refusal.js";
+import type { GatewayCall } from "../../request/gatewayCall.js";
 import type { RouteLookup } from "../../version/routeLookup.js";
 import { chooseTarget, expectedMs } from "./chooseTarget.js";
 import { decideAdmission } from "./decideAdmission.js";
+import type { Intake } from "./decideIntake.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import type { KeyMap } from "./keyMap.js";
 
@@ -13,6 +15,8 @@
 const MOVE_WAIT_MS = 250;
 /** Maximum wait until changes of owners are read, in milliseconds; covers a short pause and a call to the store. */
 const STALE_WAIT_MS = 80;
+/** Spread of the return of callers that were refused because of a rest: its share of the rest, and its bounds in milliseconds. */
+const REST_SPREAD = { share: 0.5, minMs: 200, maxMs: 2_000 };
 /** Differences of deadlines up to this share of the longest one aren't taken as a retry. */
 const SAME_DEADLINE_SHARE = 0.02;
 /** Assumed size of a route's answers before the first one, in kilobytes. */
@@ -35,10 +39,12 @@
         private readonly view: {
             lookup: () => RouteLookup | undefined;
             keyMap: (service: string) => KeyMap | undefined;
-            /** Usable targets of a service. */
+            /** Targets of a service whose entries don't say that they leave. */
             targets: (service: string) => GatewayTarget[];
-            /** The usable target with this identifier and start time, if there is one. */
+            /** The target among them with this identifier and start time, if there is one. */
             owner: (id: string, startedAtMs: number) => GatewayTarget | undefined;
+            /** Time for which a leaving target may get requests, in milliseconds. */
+            drainMs: number;
             /** Whether the known owners are up to date with the store. */
             ownersAreFresh: () => boolean;
             random: () => number;
@@ -61,7 +67,9 @@
         if (!this.isKeyed(query.service)) {
             return this.view
                 .targets(query.service)
-                .some(target => !query.tried.has(target) && !query.limited.has(target));
+                .some(
+                    target => !query.tried.has(target) && !query.limited.has(target) && this.takes(target, query.call),
+                );
         }
         const owner = this.ownerOf(query);
         switch (end) {
@@ -74,10 +82,20 @@
                 return false;
             case "lost":
             case "failed":
-                return owner !== undefined && !owner.isSuspect();
+                return owner !== undefined && !owner.isSuspect() && this.takes(owner, query.call);
         }
     }
 
+    /** Whether a target takes a request at present, by what it has stated. */
+    takes(target: GatewayTarget, call: GatewayCall): boolean {
+        const { type } = this.intakeOf(target, call);
+        return type === "open" || type === "last-choice";
+    }
+
+    private intakeOf(target: GatewayTarget, call: GatewayCall): Intake {
+        return target.intakeFor(call.arrivedAt, this.view.drainMs);
+    }
+
     private isKeyed(service: string): boolean {
         return this.view.lookup()?.service(service)?.keyed === true;
     }
@@ -102,7 +120,10 @@
                 this.refusal("owner-unreachable", `Owner ${owner.id} can't be reached.`, NO_OWNER_PAUSE_S),
             );
         }
-        return this.refuseIfLimited(owner, query) ?? this.admitOrRefuse(owner, query);
+        if (this.intakeOf(owner, query.call).type === "leaving") {
+            return this.waitIfStale(this.refusal("no-owner", `Owner ${owner.id} leaves.`, NO_OWNER_PAUSE_S));
+        }
+        return this.refuseBySoonest([owner], query) ?? this.admitOrRefuse(owner, query);
     }
 
     /** Refuses because of a missing owner only if the known owners are up to date; waits for changes otherwise. */
@@ -111,25 +132,38 @@
     }
 
     private placeAnywhere(query: PlacementQuery): Placement {
-        const untried = this.view.targets(query.service).filter(target => !query.tried.has(target));
+        const targets = this.view.targets(query.service);
+        const untried = targets.filter(target => !query.tried.has(target));
+        const intakes = (type: Intake["type"]) =>
+            untried.filter(target => this.intakeOf(target, query.call).type === type);
+        return (
+            this.placeAmong(intakes("open"), query) ??
+            this.placeAmong(intakes("last-choice"), query) ??
+            this.refuseIfClosed(targets, query) ??
+            this.refusal("owner-unreachable", `Service ${query.service} has no further target.`, NO_OWNER_PAUSE_S)
+        );
+    }
+
+    /** Refuses by the soonest target, unless one that was tried may take the request again at once. */
+    private refuseIfClosed(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
+        const { tried, limited, call } = query;
+        const isLimited = targets.some(target => limited.has(target) && !tried.has(target));
+        const isClosed = targets.every(target => limited.has(target) || !this.takes(target, call));
+        return isLimited || isClosed ? this.refuseBySoonest(targets, query) : undefined;
+    }
+
+    /** Places a request at one of some targets that take it; `undefined` if their limits admit none, or there are none. */
+    private placeAmong(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
         const placement = this.choose(
-            untried.filter(({ limit }) => limit === undefined),
+            targets.filter(({ limit }) => limit === undefined),
             query,
         );
         if (placement?.type === "target") {
             return placement;
         }
         // Targets with limits are in need, so they are used only where the others can't serve the caller.
-        const limited = untried.filter(target => target.limit !== undefined);
-        const admitting = this.choose(
-            limited.filter(target => !query.limited.has(target)),
-            query,
-        );
-        return (
-            [admitting, placement].find(found => found !== undefined) ??
-            this.soonestOf(limited, query) ??
-            this.refusal("owner-unreachable", `Service ${query.service} has no further target.`, NO_OWNER_PAUSE_S)
-        );
+        const admitting = targets.filter(target => target.limit !== undefined && !query.limited.has(target));
+        return this.choose(admitting, query) ?? placement;
     }
 
     /** Chooses among targets any of which may run a request; `undefined` if there are none. */
@@ -141,22 +175,35 @@
         return chosen === undefined ? undefined : this.admitOrRefuse(chosen.target, query);
     }
 
-    /** Refuses because of the target whose limit admits the caller soonest; `undefined` if none has refused it. */
-    private soonestOf(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
-        const delayOf = (target: GatewayTarget) => query.limited.get(target) ?? Infinity;
-        const [soonest] = [...targets].sort((a, b) => delayOf(a) - delayOf(b));
-        return soonest === undefined ? undefined : this.refuseIfLimited(soonest, query);
+    /** Refuses because of the target whose limit or rest ends soonest for the caller; `undefined` if none has refused it. */
+    private refuseBySoonest(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
+        const delays = targets.map(target => this.delayOf(target, query));
+        const [soonest] = delays.filter(delay => delay !== undefined).sort((a, b) => a.forMs - b.forMs);
+        return soonest === undefined
+            ? undefined
+            : { type: "refuse", refusal: refuse("overloaded", soonest.detail, soonest.forMs / 1_000) };
     }
 
-    /** Refuses a request that its target's limit hasn't admitted. */
-    private refuseIfLimited(target: GatewayTarget, query: PlacementQuery): Placement | undefined {
-        const retryAfterMs = query.limited.get(target);
-        if (retryAfterMs === undefined) {
+    /** Delay after which a caller may return that a target's limit or rest has refused; `undefined` if none has. */
+    private delayOf(target: GatewayTarget, query: PlacementQuery): { forMs: number; detail: string } | undefined {
+        const turnMs = query.limited.get(target);
+        if (turnMs !== undefined) {
+            // The delay is the caller's turn, so it has no jitter.
+            return {
+                forMs: turnMs,
+                detail: `Target ${target.id} takes ${target.limit?.perSecond ?? 0} requests a second.`,
+            };
+        }
+        const intake = this.intakeOf(target, query.call);
+        if (intake.type !== "resting") {
             return undefined;
         }
-        // The delay is the caller's turn, so it has no jitter.
-        const text = `Target ${target.id} takes ${target.limit?.perSecond ?? 0} requests a second.`;
-        return { type: "refuse", refusal: refuse("overloaded", text, retryAfterMs / 1_000) };
+        const { share, minMs, maxMs } = REST_SPREAD;
+        const spreadMs = Math.min(maxMs, Math.max(minMs, intake.forMs * share));
+        return {
+            forMs: intake.forMs + spreadMs * this.view.random(),
+            detail: `Target ${target.id} takes no requests for ${Math.round(intake.forMs)} ms.`,
+        };
     }
 
     /**
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -57,6 +57,11 @@
         help: "Requests for a target with a stated limit, by `result`: `admitted`, `refused`, or `unanswered` when no instance admits.",
         labels: ["service", "result"],
     },
+    target_statements_total: {
+        type: "counter",
+        labels: ["service", "kind"],
+        help: "Statements of targets that they leave (`leaving`, once for each) or that a rest begins (`rest`).",
+    },
     target_stated_limit: {
         type: "gauge",
         help: "Requests per second that the target states that it takes from all instances together; infinite once it states none.",
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -43,6 +43,10 @@
     load: ReportedLoad | undefined;
     /** Requests per second that the target takes from all instances together; `undefined` if it states no limit. */
     limitPerSecond: number | undefined;
+    /** Whether the target states that it leaves. */
+    leaving: boolean;
+    /** Time for which the target wants no requests from this instance, in milliseconds; `undefined` if it states none. */
+    restMs: number | undefined;
 }
 
 /** Load that a target reports with an answer. */
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -2,8 +2,9 @@
 import type { Header } from "../connection/peerProtocol.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
-import type { GatewayTarget, StatedLimit } from "../process/gateway/gatewayTarget.js";
+import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Permit } from "../process/gateway/limitExchange.js";
+import type { StatedLimit } from "../process/gateway/targetIntake.js";
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
 import { decideAfterAttempt, type AttemptEnd, type NextStep, type RetryCause } from "./decideAfterAttempt.js";
@@ -80,8 +81,10 @@
      * function cancels this.
      */
     permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation;
-    /** Called with a target's limit in requests per second as an answer states it; see `GatewayTarget.endLimit`. */
-    limitStated(target: GatewayTarget, perSecond: number | undefined, sentAt: number): void;
+    /** Whether a target still takes a request whose send was delayed. */
+    takes(target: GatewayTarget, call: GatewayCall): boolean;
+    /** Called with what a target's answer to a request that was sent at `sentAt` states; see `TargetIntake`. */
+    answerStated(target: GatewayTarget, facts: AnswerFacts, sentAt: number): void;
     /** Takes a retry from the budget of the service; `false` if there is none. */
     takeRetry(service: string): boolean;
     /** Called when a request is being sent to a further target. */
@@ -309,6 +312,10 @@
             this.expire();
             return;
         }
+        if (!this.services.takes(target, this.call)) {
+            this.place();
+            return;
+        }
         this.send(target);
     }
 
@@ -392,9 +399,7 @@
                     if (facts.load !== undefined) {
                         target.report(facts.load);
                     }
-                    if (facts.limitPerSecond !== undefined || (target.limit !== undefined && facts.signed)) {
-                        this.services.limitStated(target, facts.limitPerSecond, attempt.sentAt ?? startedAt);
-                    }
+                    this.services.answerStated(target, facts, attempt.sentAt ?? startedAt);
                 },
                 data: chunk => {
                     if (this.isDone || attempt.hasEnded) {
@@ -542,7 +547,9 @@
                 target.failed();
             }
             const text = `Target ${target.id} did not run it (status ${head.status}).`;
-            this.lastRefusal = refuse(head.status === 421 ? "no-owner" : "overloaded", text, this.pauseSeconds());
+            this.lastRefusal =
+                this.restRefusal(facts) ??
+                refuse(head.status === 421 ? "no-owner" : "overloaded", text, this.pauseSeconds());
             this.next(attempt, "not-run");
             return;
         }
@@ -578,6 +585,12 @@
         this.deliver(head, chunks);
     }
 
+    /** Refusal with the time after which a target takes the request again, if its target has stated a rest and no other does. */
+    private restRefusal({ restMs }: AnswerFacts): Refusal | undefined {
+        const placement = restMs === undefined || this.isDone ? undefined : this.services.place(this.query());
+        return placement?.type === "refuse" ? placement.refusal : undefined;
+    }
+
     private deliver(head: AnswerHead, chunks: Buffer[]): void {
         this.reply.answer(head, chunks);
         this.finish({ type: "answered", status: head.status });
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -11,6 +11,9 @@
 /** Timeout of the test routes, in milliseconds. */
 export const ROUTE_TIMEOUT_MS = 1_500;
 
+/** Time for which a leaving target may get requests, in milliseconds. */
+export const DRAIN_MS = 2_000;
+
 const ROUTE_COLUMNS = [
     "name",
     "host",
@@ -94,6 +97,7 @@
             graceMs: 5_000,
             checkInMs: 300,
             maxHoldMs: 10_000,
+            drainMs: DRAIN_MS,
             retryLimit: { ratio: 0.2, windowMs: 10_000 },
             clock: systemClock,
             loggers: createLoggers({
