Apply a leaving statement to the present entry of its start

A target whose entry goes and returns for the same start (an outage of the store, a missed check-in) is a new object of the directory that shares what its answers have stated. An answer to a request or grant that was sent before that still refers to the earlier object: the statement was recorded for the start, but the present object stayed usable, so an assigner kept its keys there, and later statements changed nothing as they weren't the first.

The statement now makes the registered object of the start unusable.

targetDirectory.test.ts, "doesn't keep a target usable whose statement is read after its entry has gone and returned", failed before with the usable targets ["t1"] instead of [].

--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -61,6 +61,18 @@
         expect(usable()).toEqual(["t1"]);
     });
 
+    it("doesn't keep a target usable whose statement is read after its entry has gone and returned", () => {
+        const { directory, usable } = createDirectory();
+        directory.put(entry("t1"));
+        const before = directory.get("t1");
+        directory.entryGone("t1");
+        directory.put(entry("t1"));
+        expect(usable()).toEqual(["t1"]);
+        // The answer to a request that was sent before its entry had gone.
+        expect(before === undefined || directory.stateLeaving(before)).toBe(true);
+        expect(usable()).toEqual([]);
+    });
+
     it("keeps targets usable for a while whose entries expired during an outage, unless these don't return", () => {
         const { clock, directory, usable } = createDirectory();
         directory.put(entry("t1"));
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -103,9 +103,11 @@
         }
         const { id, service } = target.entry;
         this.options.logger.info(`Target ${id} states that it leaves.`, { service });
-        if (target.usable) {
-            target.usable = false;
-            this.options.onChange(target);
+        // Since its entry was read, it may have gone and returned for the same start.
+        const current = this.targets.get(id);
+        if (current?.intake === target.intake && current.usable) {
+            current.usable = false;
+            this.options.onChange(current);
         }
         return true;
     }
