Report leaving targets to the instance that assigns keys

A target may state in its answers that it leaves before its entry in the store says so. Only the instances that pass on such answers knew it; the one that assigns keys left the target's keys in place, so from the end of the drain time on their callers were refused.

An instance that reads the statement of a target of a keyed service now reports the target's identifier and start to the holder of the assigner lease by a datagram (LeavingExchange). The holder applies it to that start only, which makes the target unusable for keys, and acknowledges it. An instance without the lease doesn't acknowledge it. Without an acknowledgement the report is repeated after 200 ms and pauses that double up to 1.6 s; it is made again when another instance has become the assigner, and ends when the entry says that the target is draining or has gone, at the latest after 9 s. That is longer than an assigner renews grants without an answer: by then it has read the statement in the answer to a renewal, or can't reach the target, so that a report couldn't have the keys released.

Reports of an instance are 100 ms apart and carry up to 20 targets, so that the assigner isn't flooded.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
 import { KeyAssigners } from "./keyAssigners.js";
 import { KeyOwners } from "./keyOwners.js";
+import { LeavingExchange } from "./leavingExchange.js";
 import { LimitAdmitter } from "./limitAdmitter.js";
 import { LimitExchange, type Permit } from "./limitExchange.js";
 import { parsePeerAddress, PeerPort, type PeerAddress } from "./peerPort.js";
@@ -33,7 +34,7 @@
 import type { StoredRow } from "./rowStore.js";
 import { SharedLoad } from "./sharedLoad.js";
 import { TableFollower } from "./tableFollower.js";
-import { isAccepting } from "./targetDirectory.js";
+import { isAccepting, type DirectoryTarget } from "./targetDirectory.js";
 import type { StatedLimit, TargetIntake } from "./targetIntake.js";
 import { TargetPlacement } from "./targetPlacement.js";
 
@@ -110,6 +111,7 @@
     private readonly load: SharedLoad;
     private readonly admitter: LimitAdmitter;
     private readonly limits: LimitExchange;
+    private readonly leaving: LeavingExchange;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
@@ -174,6 +176,16 @@
                 this.targets.get(id, startedAtMs)?.listed.intake.endLimit(before),
         });
         this.peers.handle(this.limits.receive);
+        this.leaving = new LeavingExchange({
+            clock,
+            isAssigning: () => this.assigners.lease.isHeld(),
+            assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
+            registered: id => this.targets.directory.get(id),
+            heard: listed => this.leavingStated(listed),
+            send: (address, content) => this.peers.send(address, content),
+            unanswered: () => this.assigners.lease.lookAgain(),
+        });
+        this.peers.handle(this.leaving.receive);
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
             keyMap: service => this.owners.of(service),
@@ -325,6 +337,7 @@
         this.disposables.add(this.peers);
         await this.peers.start();
         this.disposables.add(this.load);
+        this.disposables.add(this.leaving);
         this.load.start();
         const metrics = await this.serveMetrics();
         loggers("daemon").info("Started.", { domain, callers: `${callers.host}:${port}`, metrics });
@@ -413,7 +426,7 @@
         }
         const { intake } = target.listed;
         if (leaving) {
-            this.leavingStated(target);
+            this.leavingStated(target.listed);
         }
         if (restMs !== undefined) {
             this.restStated(target, restMs);
@@ -425,9 +438,15 @@
         }
     }
 
-    private leavingStated({ listed }: GatewayTarget): void {
-        if (this.targets.directory.stateLeaving(listed)) {
-            this.metrics.counter("target_statements_total", { service: listed.entry.service, kind: "leaving" }).add();
+    /** Applies a target's statement that it leaves, which this or another instance has read. */
+    private leavingStated(listed: DirectoryTarget): void {
+        if (!this.targets.directory.stateLeaving(listed)) {
+            return;
+        }
+        const { service } = listed.entry;
+        this.metrics.counter("target_statements_total", { service, kind: "leaving" }).add();
+        if (this.config.current?.service(service)?.keyed === true) {
+            this.leaving.stated(listed.entry);
         }
     }
 
