Read from answers to grants and releases that their target leaves

A target that leaves says so in its answers to grants and releases, too, but these answers were read only for their outcome. The instance that assigns keys renewed the grants of such an owner, gave it further keys, and moved its keys only once its entry in the store said that it was draining. Callers of an owner without other requests, or of one that only a new assigner reaches, were refused from the end of its drain time.

The replies of OwnershipCalls now carry the statement, unless the answer names another target, and KeyAssigner passes it on.

--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -46,6 +46,10 @@
             allTargets: () => [...targets, ...others],
             measure: () => ({ capacity: 1, pressure: 0 }),
             weights: () => new Float64Array(KEY_COUNT).fill(1),
+            leavingStated: target => {
+                target.intake.stateLeaving(clock);
+                target.usable = false;
+            },
             holdMs: HOLD_MS,
         });
     const assignment = () => store.read(ASSIGNMENT_TABLE, "stock") as KeyAssignment;
@@ -89,6 +93,19 @@
         expect(fixture.calls.log.some(line => line.startsWith("release t1:80"))).toBe(true);
     });
 
+    it("moves the keys of a target that states in its answers to renewals that it leaves, whatever its entry says", async () => {
+        const fixture = await createFixture(["t1", "t2"]);
+        void fixture.create().start();
+        await advanceInSteps(fixture.clock, 5_000);
+        fixture.calls.leaving.add("t1:80");
+        // Until the next renewal, the move and its grant.
+        await advanceInSteps(fixture.clock, 2_000);
+        expect(fixture.targets()[0].entry.draining).toBe(false);
+        expect(fixture.owners()).toEqual(new Set(["t2"]));
+        expect(fixture.assignment().ranges.some(({ handover }) => handover === "state-t1:80")).toBe(true);
+        expect(fixture.calls.log.some(line => line.startsWith("release t1:80"))).toBe(true);
+    });
+
     it("waits until the grants of a silent target without an entry have expired", async () => {
         const fixture = await createFixture(["t1", "t2"]);
         void fixture.create().start();
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -243,6 +243,7 @@
             logger: loggers("ownership"),
             targets: this.targets,
             load: this.load,
+            leavingStated: listed => this.leavingStated(listed),
             admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
             isFirstStart: options.isFirstStart,
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -16,7 +16,7 @@
     type KeyRange,
 } from "./keyMap.js";
 import { LateGrants } from "./lateGrants.js";
-import type { GrantReply, OwnershipCalls } from "./ownershipCalls.js";
+import type { CallStatement, GrantReply, OwnershipCalls } from "./ownershipCalls.js";
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
@@ -130,6 +130,8 @@
             measure: (target: DirectoryTarget) => { capacity: number; pressure: number };
             /** Load of each key. */
             weights: () => ArrayLike<number>;
+            /** Called when a target states in an answer that it leaves. */
+            leavingStated: (target: DirectoryTarget) => void;
             holdMs?: number;
         },
     ) {
@@ -564,6 +566,7 @@
             const { id, address } = owner.listed.entry;
             const reply = await calls.release({ id, address }, { from, to, fence }, RELEASE_TIMEOUT_MS);
             if (reply.type === "released") {
+                this.applyStatement(owner, reply);
                 return { handover: reply.handover };
             }
             if (reply.type === "other-target") {
@@ -747,6 +750,7 @@
         switch (reply.type) {
             case "granted":
                 target.grants.answered(now);
+                this.applyStatement(target, reply);
                 return true;
             case "unanswered":
                 target.grants.unanswered(now);
@@ -759,11 +763,18 @@
                 return false;
             case "outdated":
             case "invalid":
+                this.applyStatement(target, reply);
                 logger.error(`Target ${id} refused a grant.`, { from, to, fence, reply: reply.type });
                 return false;
         }
     }
 
+    private applyStatement({ listed }: TrackedTarget, { leaving }: CallStatement): void {
+        if (leaving === true) {
+            this.options.leavingStated(listed);
+        }
+    }
+
     /** Renews the grants of all owners, except for keys that are being moved. */
     private renewAll(): void {
         if (!this.mayAct()) {
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -35,6 +35,8 @@
             logger: Logger;
             targets: GatewayTargets;
             load: Pick<SharedLoad, "weights">;
+            /** Called when a target states in an answer to a grant or release that it leaves. */
+            leavingStated: (target: DirectoryTarget) => void;
             /** Whether the whole system starts for the first time. */
             isFirstStart?: boolean;
             /** Admits requests to targets with limits while this instance holds the lease. */
@@ -101,7 +103,7 @@
     }
 
     private createAssigner(service: string): KeyAssigner {
-        const { store, calls, clock, logger, targets, load, admitter, maxHoldMs } = this.options;
+        const { store, calls, clock, logger, targets, load, admitter, leavingStated, maxHoldMs } = this.options;
         return new KeyAssigner({
             service,
             store,
@@ -113,6 +115,7 @@
             allTargets: () => targets.directory.all(),
             measure: listed => targets.view(listed).measure(admitter.limitOf(listed.entry)),
             weights: () => load.weights(service),
+            leavingStated,
             holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
         });
     }
--- a/src/process/gateway/ownershipCalls.ts
+++ b/src/process/gateway/ownershipCalls.ts
@@ -21,11 +21,25 @@
     /** The call may have arrived, and may take effect later. */
     | { type: "unanswered"; detail: string };
 
+/** What a target's answer to a call states besides. */
+export interface CallStatement {
+    /** Whether the target states that it leaves. */
+    leaving?: boolean;
+}
+
 /** A target's answer to a grant. */
-export type GrantReply = { type: "granted" } | { type: "outdated" } | { type: "invalid"; status: number } | CallFailure;
+export type GrantReply =
+    | ((
+          | { type: "granted" }
+          /** The target has seen a higher fencing token. */
+          | { type: "outdated" }
+          | { type: "invalid"; status: number }
+      ) &
+          CallStatement)
+    | CallFailure;
 
 /** A target's answer to a release. `handover` names the state that the next owner can take over. */
-export type ReleaseReply = { type: "released"; handover: string | undefined } | CallFailure;
+export type ReleaseReply = ({ type: "released"; handover: string | undefined } & CallStatement) | CallFailure;
 
 /** Calls that change which keys a target owns. */
 export interface OwnershipCalls {
--- a/test/failure/leavingOwner.test.ts
+++ b/test/failure/leavingOwner.test.ts
@@ -84,4 +84,13 @@
         await moved(owner);
         await waitFor(async () => (await ownerAt(other)) === 1 - owner, DRAIN_MS);
     });
+
+    it("loses them in its drain time if no request reaches it, since its answers to renewals state it, too", async () => {
+        const { assigner } = roles();
+        const owner = await ownerAt(assigner);
+        isStatedIn = isOwnershipCall;
+        leaving = owner;
+        await moved(owner);
+        await waitFor(async () => (await ownerAt(assigner)) === 1 - owner, DRAIN_MS);
+    });
 });
--- a/test/support/assigningInstances.ts
+++ b/test/support/assigningInstances.ts
@@ -77,6 +77,7 @@
             logger: SILENT_LOGGER,
             targets,
             load: { weights: () => new Float64Array(KEY_COUNT).fill(1) },
+            leavingStated: listed => void targets.directory.stateLeaving(listed),
             admitter: new LimitAdmitter(clock),
             maxHoldMs: 10_000,
         });
--- a/test/support/grantedTargets.ts
+++ b/test/support/grantedTargets.ts
@@ -17,6 +17,8 @@
     /** Granted ranges by address. */
     readonly held = new Map<string, HeldKeys[]>();
     readonly silent = new Set<string>();
+    /** Addresses of targets that state in their answers that they leave. */
+    readonly leaving = new Set<string>();
     readonly log: string[] = [];
     /** Keys that two targets held at the same time, and tokens that weren't above those of other targets. */
     readonly violations: string[] = [];
@@ -52,7 +54,7 @@
         ]);
         const kept = this.without(address, grant);
         this.held.set(address, [...kept, { ...grant, until: arrivedAt + grant.holdMs }]);
-        return { type: "granted" };
+        return { type: "granted", leaving: this.leaving.has(address) };
     }
 
     private merged(seen: readonly GrantedKeys[], { from, to, fence }: GrantedKeys): GrantedKeys[] {
@@ -87,7 +89,7 @@
         }
         this.log.push(`release ${address} ${keys.from} ${keys.to}`);
         this.held.set(address, this.without(address, keys));
-        return Promise.resolve({ type: "released", handover: `state-${address}` });
+        return Promise.resolve({ type: "released", handover: `state-${address}`, leaving: this.leaving.has(address) });
     }
 
     private without(address: string, keys: { from: number; to: number }): HeldKeys[] {
