Test that the keys of leaving owners move under faults

What a target states reaches the assigner by datagrams that may be lost, and by answers to calls of an assigner that may be replaced. Nothing showed that its keys move inside the drain time then, that a later start isn't bound by it, and that no key has two owners meanwhile.

The random replay of assignmentFaults.test.ts gets statements, in answers to requests and to grants, and lost datagrams.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -334,6 +334,9 @@
         // Watchers of the lease draw their pauses from `Math.random`, so a seed alone doesn't repeat a replay.
         jest.spyOn(Math, "random").mockImplementation(seededRandom(seed));
         const system = new AssigningInstances(["t1", "t2", "t3", "t4"]);
+        const randomLoss = seededRandom(seed * 104_729);
+        let datagramLoss = 0;
+        system.isDatagramLost = () => randomLoss() < datagramLoss;
         const trace: string[] = [];
         const note = (text: string) => trace.push(`${system.clock.monotonicMs()} ${text}`);
         let copies = [system.store.copy()];
@@ -411,6 +414,15 @@
             } else if (pick < 0.93) {
                 system.clock.shiftWall(random() < 0.5 ? 5_000 : -5_000);
                 note("shift the wall clock");
+            } else if (pick < 0.96 && targets > 2) {
+                system.stateLeaving(instance, `t${targets - 2}`);
+                note(`${instance.name} reads that t${targets - 2} leaves`);
+            } else if (pick < 0.98 && targets > 2) {
+                system.calls.leaving.add(`t${targets - 2}:80`);
+                note(`t${targets - 2} leaves`);
+            } else if (pick >= 0.98) {
+                datagramLoss = datagramLoss === 0 ? 0.5 : 0;
+                note(`lose ${datagramLoss} of the datagrams`);
             }
             await advance(100 + Math.floor(random() * (random() < 0.3 ? 6_000 : 900)), `seed ${seed} step ${step}`);
         }
--- a/test/support/assigningInstances.ts
+++ b/test/support/assigningInstances.ts
@@ -1,10 +1,13 @@
 import { err, type Result } from "neverthrow";
 import { GatewayTargets } from "../../src/process/gateway/gatewayTargets.js";
 import { KeyAssigners } from "../../src/process/gateway/keyAssigners.js";
+import { LeavingExchange } from "../../src/process/gateway/leavingExchange.js";
 import { KEY_COUNT, decodeAssignment, type KeyAssignment } from "../../src/process/gateway/keyMap.js";
 import { ASSIGNMENT_TABLE } from "../../src/process/gateway/keyAssigner.js";
 import { LimitAdmitter } from "../../src/process/gateway/limitAdmitter.js";
+import { parsePeerAddress, type PeerAddress } from "../../src/process/gateway/peerPort.js";
 import type { RowStore } from "../../src/process/gateway/rowStore.js";
+import type { DirectoryTarget } from "../../src/process/gateway/targetDirectory.js";
 import type { TargetEntry } from "../../src/process/gateway/targetEntry.js";
 import type { PlatformError } from "../../src/process/store/platformError.js";
 import { advanceInSteps } from "./advanceInSteps.js";
@@ -19,6 +22,9 @@
 export interface AssigningInstance {
     name: string;
     assigners: KeyAssigners;
+    leaving: LeavingExchange;
+    /** Address for datagrams. A restarted instance has a new one, which gets none that were meant for the former process. */
+    address: PeerAddress;
     /** Whether its calls to the store get no answer. */
     isCut: boolean;
     /** Its writes are carried out, but only when these are called. */
@@ -47,6 +53,9 @@
     readonly calls = new GrantedTargets(this.clock);
     readonly instances: AssigningInstance[] = [];
     readonly entries = new Map<string, TargetEntry>();
+    /** Whether a datagram is lost. */
+    isDatagramLost: () => boolean = () => false;
+    private ports = 0;
 
     constructor(targets: string[]) {
         this.store.storeMs = () => this.clock.monotonicMs() + 5_000_000;
@@ -68,25 +77,43 @@
         });
         this.entries.forEach(entry => targets.directory.put(entry));
         const faults = { isCut: false, holdsWrites: false, heldWrites: [] as (() => void)[] };
+        const address = { host: "10.1.0.1", port: ++this.ports };
+        const leavingStated = (listed: DirectoryTarget) => {
+            if (targets.directory.stateLeaving(listed)) {
+                leaving.stated(listed.entry);
+            }
+        };
         const assigners = new KeyAssigners({
             instance: name,
-            peerAddress: undefined,
+            peerAddress: `${address.host}:${address.port}`,
             store: this.storeOf(faults),
             calls: this.calls,
             clock,
             logger: SILENT_LOGGER,
             targets,
             load: { weights: () => new Float64Array(KEY_COUNT).fill(1) },
-            leavingStated: listed => void targets.directory.stateLeaving(listed),
+            leavingStated,
             admitter: new LimitAdmitter(clock),
             maxHoldMs: 10_000,
         });
+        const leaving = new LeavingExchange({
+            clock,
+            isAssigning: () => assigners.lease.isHeld(),
+            assigner: () => parsePeerAddress(assigners.lease.assignerAddress),
+            registered: id => targets.directory.get(id),
+            heard: leavingStated,
+            send: (receiver, content) => this.sendDatagram(receiver, content, address),
+            unanswered: () => assigners.lease.lookAgain(),
+        });
         const instance = Object.assign(faults, {
             name,
             assigners,
+            leaving,
+            address,
             targets,
             dispose: () => {
                 assigners.dispose();
+                leaving.dispose();
                 this.instances.splice(this.instances.indexOf(instance), 1);
             },
         });
@@ -106,6 +133,23 @@
         this.instances.forEach(instance => this.directories.get(instance)?.directory.put(entry));
     }
 
+    /** Has an instance read from a target's answer that the target leaves. */
+    stateLeaving(instance: AssigningInstance, id: string): void {
+        const directory = this.directories.get(instance)?.directory;
+        const listed = directory?.get(id);
+        if (listed !== undefined && directory?.stateLeaving(listed) === true) {
+            instance.leaving.stated(listed.entry);
+        }
+    }
+
+    private sendDatagram(receiver: PeerAddress, content: Buffer, sender: PeerAddress): void {
+        if (!this.isDatagramLost()) {
+            const delivered = () =>
+                this.instances.find(({ address }) => address.port === receiver.port)?.leaving.receive(content, sender);
+            this.clock.setTimer(1, delivered);
+        }
+    }
+
     /** The stored assignment. */
     get assignment(): KeyAssignment | undefined {
         const stored = this.store.read(ASSIGNMENT_TABLE, SERVICE);
