Give each caller its own delay when a resting target's refusal is passed on

A target that rests may refuse an idempotent request with 503 and Retry-After but without stating that it hasn't run it. If no other target serves the request, this answer goes to the caller. Callers got the target's number as it stands, so all of them returned when the rest ended. The answer now has the delay of the instance's own refusals: the rest and a random spread.

Evidence: "guards against its number being handed to the callers that it refuses (not run: false)" in test/failure/statedIntake.test.ts failed before ("Expected: > 1, Received: 1" different delays) and passes now.

--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -38,6 +38,9 @@
 /** Share of the time left after which an idempotent request without any answer is sent to another target. */
 const SILENCE_SHARE = 0.5;
 
+/** Name of the field in an answer's head that states after which delay its caller may return. */
+const RETRY_AFTER = "retry-after";
+
 /** Statuses that promise a caller that its request hasn't run and won't run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -578,7 +581,7 @@
         }
         if (head.status >= 500) {
             target.failed();
-            this.next(attempt, "failed", () => this.deliver(head, chunks));
+            this.next(attempt, "failed", () => this.deliver(this.withDelay(head, facts), chunks));
             return;
         }
         this.recordLatency(attempt);
@@ -591,6 +594,16 @@
         return placement?.type === "refuse" ? placement.refusal : undefined;
     }
 
+    /** Replaces the rest in the answer of a resting target by the delay after which this caller may return. */
+    private withDelay(head: AnswerHead, facts: AnswerFacts): AnswerHead {
+        const delayS = this.restRefusal(facts)?.retryAfterSeconds;
+        if (delayS === undefined) {
+            return head;
+        }
+        const headers = head.headers.filter(({ name }) => name.toLowerCase() !== RETRY_AFTER);
+        return { ...head, headers: [...headers, { name: "Retry-After", value: delayS.toFixed(2) }] };
+    }
+
     private deliver(head: AnswerHead, chunks: Buffer[]): void {
         this.reply.answer(head, chunks);
         this.finish({ type: "answered", status: head.status });
