Draw the jitter of refusals from the placement's random numbers

The pauses of refusals used Math.random although the placement has its own source, so replays of it with seeded numbers gave another result on each run. Without this change, intakeReplay.test.ts can't be repeated by its seeds. Callers see no difference.

--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -26,9 +26,6 @@
 /** Weight of the newest answer in the mean size. */
 const SIZE_WEIGHT = 0.05;
 
-/** Adds jitter to a pause, so that callers who were refused together don't retry together. */
-const jitter = (seconds: number): number => seconds * (0.6 + 0.8 * Math.random());
-
 /** Chooses targets for requests by what this instance currently knows. */
 export class TargetPlacement {
     private readonly answerKb = new Map<string, number>();
@@ -236,7 +233,8 @@
               );
     }
 
+    /** Refuses with jitter on the pause, so that callers who were refused together don't retry together. */
     private refusal(kind: "no-owner" | "owner-unreachable" | "overloaded", text: string, pauseS: number): Placement {
-        return { type: "refuse", refusal: refuse(kind, text, jitter(pauseS)) };
+        return { type: "refuse", refusal: refuse(kind, text, pauseS * (0.6 + 0.8 * this.view.random())) };
     }
 }
