Use a leaving target for callers whom the other targets refuse

Within the drain time a leaving target is the last choice. It was chosen only if no other target was open; while open targets were too busy and refused callers, it got nothing, although it could serve them. Now it is asked when the choice among the open targets ends in a refusal. Requests after the drain share are refused as before.

Evidence: "guards against the refusal of callers that only a leaving target can serve" failed before (a refusal instead of the target).

--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -72,3 +72,67 @@
         expect(place()).toEqual({ type: "target", target: owner });
     });
 });
+
+/** Placement in a service without keys, with targets of two slots. */
+const createShared = (count: number) => {
+    const clock = new ManualClock();
+    clock.advance(1_000);
+    let random = 0.5;
+    const targets = Array.from({ length: count }, (_, index) => {
+        const entry = { id: `t${index}`, service: "stock", address: "127.0.0.1:1", slots: 2, warmupLeftMs: 0 };
+        return new GatewayTarget({ entry, intake: new TargetIntake() } as unknown as DirectoryTarget, clock, true, 4);
+    });
+    const placement = new TargetPlacement({
+        lookup: () => ({ service: () => ({ keyed: false }) }) as unknown as RouteLookup,
+        keyMap: () => undefined,
+        targets: () => targets,
+        owner: () => undefined,
+        ownersAreFresh: () => true,
+        drainMs: 2_000,
+        random: () => random,
+    });
+    const place = (drawn = 0.5): Placement => {
+        random = drawn;
+        return placement.place({
+            call: { deadlineMs: 3_000, arrivedAt: clock.monotonicMs() } as never,
+            route: { name: "read", targetLatencyMs: 400 } as Route,
+            service: "stock",
+            tried: new Set(),
+            unreached: new Set(),
+            notOwners: new Set(),
+            limited: new Map(),
+            leftMs: 3_000,
+        });
+    };
+    const delayMs = (drawn: number): number => {
+        const placed = place(drawn);
+        return placed.type === "refuse" ? 1_000 * (placed.refusal.retryAfterSeconds ?? 0) : -1;
+    };
+    const load = (target: GatewayTarget): void => Array.from({ length: 20 }).forEach(() => target.started());
+    return { clock, targets, place, delayMs, load };
+};
+
+describe("TargetPlacement with targets that leave or rest", () => {
+    it("guards against sends to a leaving target that another target serves", () => {
+        const { clock, targets, place } = createShared(2);
+        targets[0].listed.intake.stateLeaving(clock);
+        targets[1].started();
+        expect(place()).toEqual({ type: "target", target: targets[1] });
+    });
+
+    it("guards against the refusal of callers that only a leaving target can serve, and against later sends to it", () => {
+        const { clock, targets, place, load } = createShared(2);
+        targets[0].listed.intake.stateLeaving(clock);
+        load(targets[1]);
+        expect(place()).toEqual({ type: "target", target: targets[0] });
+        clock.advance(1_600);
+        expect(place()).toMatchObject({ type: "refuse", refusal: { type: "overloaded" } });
+    });
+
+    it("guards against callers who return before the shortest rest or all at its end", () => {
+        const { clock, targets, delayMs } = createShared(2);
+        targets[0].listed.intake.stateRest(8_000, clock);
+        targets[1].listed.intake.stateRest(1_000, clock);
+        expect([0, 0.5, 0.99].map(delayMs)).toEqual([1_000, 1_250, 1_495]);
+    });
+});
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -133,9 +133,11 @@
         const untried = targets.filter(target => !query.tried.has(target));
         const intakes = (type: Intake["type"]) =>
             untried.filter(target => this.intakeOf(target, query.call).type === type);
+        const open = this.placeAmong(intakes("open"), query);
+        const lastChoice = open?.type === "target" ? undefined : this.placeAmong(intakes("last-choice"), query);
         return (
-            this.placeAmong(intakes("open"), query) ??
-            this.placeAmong(intakes("last-choice"), query) ??
+            (lastChoice?.type === "target" ? lastChoice : open) ??
+            lastChoice ??
             this.refuseIfClosed(targets, query) ??
             this.refusal("owner-unreachable", `Service ${query.service} has no further target.`, NO_OWNER_PAUSE_S)
         );
