--- a/src/commands/__tests__/explain.test.ts
+++ b/src/commands/__tests__/explain.test.ts
@@ -71,3 +71,17 @@
     expect(run("r7", "/nonexistent").code).toBe(3);
     expect(run("r7", ...files).out).toContain("key: 50");
 });
+
+test("guards against missing lines about targets that weren't used because they rested or left", () => {
+    const file = join(mkdtempSync(join(tmpdir(), "sassafrasloom-")), "a1.log");
+    const about = ["t1 takes no requests from this instance for a while", "t2 states that it leaves", "t3 is usable"];
+    const request = { request: "r7", service: "stock", targets: "", resting: "t1,t5", leaving: "t2" };
+    const lines = about.map((text, index) => line(112 + index, "a1", `dispatch: Target ${text}.`));
+    writeFileSync(file, [...lines, line(120, "a1", "callers: Request r7 ended: overloaded.", request)].join("\n"));
+    const { out } = run("r7", file, "--json");
+    expect((JSON.parse(out) as { message: string }[]).map(({ message }) => message)).toEqual([
+        `dispatch: Target ${about[0]}.`,
+        `dispatch: Target ${about[1]}.`,
+        "callers: Request r7 ended: overloaded.",
+    ]);
+});
--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -101,6 +101,29 @@
         clock.advance(700);
         expect(usable()).toEqual([]);
     });
+
+    it("guards against an entry that recalls a target which states that it leaves, and against one that bans a later start", () => {
+        const { directory, usable } = createDirectory();
+        directory.put(entry("t1"));
+        const [target] = directory.all();
+        expect([directory.stateLeaving(target), directory.stateLeaving(target), usable()]).toEqual([true, false, []]);
+        directory.put(entry("t1"));
+        expect(usable()).toEqual([]);
+        directory.entryGone("t1");
+        directory.put(entry("t1"));
+        expect([usable(), directory.get("t1")?.intake.leavingAt]).toEqual([[], 0]);
+        directory.put(entry("t1", { startedAtMs: 2 }));
+        expect([usable(), directory.get("t1")?.intake.leavingAt]).toEqual([["t1"], undefined]);
+    });
+
+    it("guards against a rest that is forgotten while the entry of its start is gone", () => {
+        const { clock, directory } = createDirectory();
+        directory.put(entry("t1"));
+        directory.get("t1")?.intake.stateRest(5_000, clock);
+        directory.entryGone("t1");
+        directory.put(entry("t1"));
+        expect(directory.get("t1")?.intake.rest?.until).toBe(5_000);
+    });
 });
 
 /**
