--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -1,4 +1,6 @@
+import { startScriptedTarget } from "../../../test/support/scriptedTarget.js";
 import { systemClock } from "../../process/runtime/clock.js";
+import type { Header } from "../peerProtocol.js";
 import { TargetConnections, type TargetFailure } from "../targetConnections.js";
 
 const REQUEST = { method: "GET", path: "/", headers: {}, body: new Uint8Array() };
@@ -17,3 +19,23 @@
         expect([wasSent, connections.size]).toEqual([false, 0]);
     },
 );
+
+test("guards against statements of targets that are missed because of blanks after their values", async () => {
+    const target = await startScriptedTarget(({ answer }) =>
+        answer({ headers: ["Server-Leaving: 1 ", "Other: a b\t "] }),
+    );
+    const connections = new TargetConnections(target.address, systemClock);
+    const headers = await new Promise<Header[]>((resolve, reject) => {
+        const answer = { data: () => undefined, end: () => undefined, sent: () => undefined };
+        const head = (_: number, received: Header[]) => resolve(received);
+        connections.send(
+            REQUEST,
+            { ...answer, head, failed: ({ detail }) => reject(new Error(detail)) },
+            { fresh: false },
+        );
+    });
+    connections.dispose();
+    await target.dispose();
+    const valueOf = (wanted: string) => headers.find(({ name }) => name.toLowerCase() === wanted)?.value;
+    expect([valueOf("server-leaving"), valueOf("other")]).toEqual(["1", "a b"]);
+});
--- a/src/connection/problemAnswer.ts
+++ b/src/connection/problemAnswer.ts
@@ -1,6 +1,6 @@
 import { STATUS_CODES, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { problemOfRefusal, type Refusal } from "../request/refusal.js";
+import { delayField, problemOfRefusal, type Refusal } from "../request/refusal.js";
 
 const MEDIA_TYPE = "application/problem+json";
 
@@ -17,7 +17,7 @@
     response.setHeader("content-length", Buffer.byteLength(body));
     Object.entries(headers).forEach(([name, value]) => response.setHeader(name, value));
     if (problem.retryAfterSeconds !== undefined) {
-        response.setHeader("retry-after", Number(problem.retryAfterSeconds.toFixed(2)));
+        response.setHeader("retry-after", delayField(problem.retryAfterSeconds));
     }
     response.end(body);
 };
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -85,12 +85,15 @@
     return { type: code === "UND_ERR_ABORTED" ? "aborted" : "broken", refused: false, detail };
 };
 
+/** Blanks around a field's value, which the HTTP client keeps at its end although they aren't part of it (RFC 9110). */
+const SURROUNDING_BLANKS = /^[ \t]+|[ \t]+$/g;
+
 const toHeaderList = (headers: Record<string, string | string[] | undefined>): Header[] => {
     const list: Header[] = [];
     for (const [name, value] of Object.entries(headers)) {
         for (const single of Array.isArray(value) ? value : [value]) {
             if (single !== undefined) {
-                list.push({ name, value: single });
+                list.push({ name, value: single.replace(SURROUNDING_BLANKS, "") });
             }
         }
     }
--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
+import type { GatewayCall } from "../../../request/gatewayCall.js";
 import type { Placement } from "../../../request/gatewayRequest.js";
 import type { Route } from "../../../version/routeConfig.js";
 import type { RouteLookup } from "../../../version/routeLookup.js";
@@ -38,7 +39,7 @@
             limited: new Map(),
             leftMs: 3_000,
         });
-    return { owner, place };
+    return { owner, placement, place };
 };
 
 describe("TargetPlacement", () => {
@@ -67,6 +68,16 @@
         expect(fresh.place([fresh.owner])).toMatchObject({ type: "refuse", refusal: { type: "owner-unreachable" } });
     });
 
+    it("doesn't send a request that waited for a permit to a target that is draining or gone by then", () => {
+        const { owner, placement } = createPlacement({ isListed: true, isFresh: true });
+        const call = { arrivedAt: 0 } as GatewayCall;
+        expect(placement.takes(owner, call)).toBe(true);
+        owner.listed.gone = true;
+        expect(placement.takes(owner, call)).toBe(false);
+        Object.assign(owner.listed, { gone: false, entry: { ...owner.listed.entry, draining: true } });
+        expect(placement.takes(owner, call)).toBe(false);
+    });
+
     it("sends to a stale owner that answers, since it refuses keys that it has released", () => {
         const { owner, place } = createPlacement({ isListed: true, isFresh: false });
         expect(place()).toEqual({ type: "target", target: owner });
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -25,6 +25,8 @@
 const MIN_SUSPICION_MS = 400;
 const MAX_SUSPICION_MS = 3_000;
 
+/** Intake of a target that has stated neither that it leaves nor a rest. */
+const OPEN: Intake = { type: "open" };
 /** Ratio of load to slots that is assumed of a target whose limit refuses callers. */
 const EXCEEDED_PRESSURE = 1;
 
@@ -81,7 +83,7 @@
     intakeFor(arrivedAt: number, drainMs: number): Intake {
         const { leavingAt, rest } = this.listed.intake;
         if (leavingAt === undefined && rest === undefined) {
-            return { type: "open" };
+            return OPEN;
         }
         const now = this.clock.monotonicMs();
         return decideIntake({ now, arrivedAt, leavingAt, drainMs, rest, inFlight: this.inFlight });
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -8,6 +8,7 @@
 import type { Intake } from "./decideIntake.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import type { KeyMap } from "./keyMap.js";
+import { isAccepting } from "./targetDirectory.js";
 
 /** Retry pause for callers whose key has no owner, in seconds; a new owner is assigned within a few tenths of a second. */
 const NO_OWNER_PAUSE_S = 0.35;
@@ -83,10 +84,10 @@
         }
     }
 
-    /** Whether a target takes a request at present, by what it has stated. */
+    /** Whether a target takes a request at present, by its entry and by what it has stated. */
     takes(target: GatewayTarget, call: GatewayCall): boolean {
         const { type } = this.intakeOf(target, call);
-        return type === "open" || type === "last-choice";
+        return isAccepting(target.listed) && (type === "open" || type === "last-choice");
     }
 
     private intakeOf(target: GatewayTarget, call: GatewayCall): Intake {
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -18,7 +18,7 @@
     type GatewayReply,
 } from "./gatewayCall.js";
 import type { HeldAnswer, HeldAnswers } from "./heldAnswers.js";
-import { refuse, type Refusal } from "./refusal.js";
+import { delayField, refuse, type Refusal } from "./refusal.js";
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
@@ -40,6 +40,7 @@
 
 /** Name of the field in an answer's head that states after which delay its caller may return. */
 const RETRY_AFTER = "retry-after";
+const UNAVAILABLE = 503;
 
 /** Statuses that promise a caller that its request hasn't run and won't run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -594,14 +595,14 @@
         return placement?.type === "refuse" ? placement.refusal : undefined;
     }
 
-    /** Replaces the rest in the answer of a resting target by the delay after which this caller may return. */
+    /** Replaces the delay in a refusal that its target wrote by the one after which this caller may return. */
     private withDelay(head: AnswerHead, facts: AnswerFacts): AnswerHead {
-        const delayS = this.restRefusal(facts)?.retryAfterSeconds;
-        if (delayS === undefined) {
+        if (head.status !== UNAVAILABLE || !head.headers.some(({ name }) => name.toLowerCase() === RETRY_AFTER)) {
             return head;
         }
+        const delayS = this.restRefusal(facts)?.retryAfterSeconds ?? this.pauseSeconds();
         const headers = head.headers.filter(({ name }) => name.toLowerCase() !== RETRY_AFTER);
-        return { ...head, headers: [...headers, { name: "Retry-After", value: delayS.toFixed(2) }] };
+        return { ...head, headers: [...headers, { name: "Retry-After", value: delayField(delayS) }] };
     }
 
     private deliver(head: AnswerHead, chunks: Buffer[]): void {
--- a/src/request/refusal.ts
+++ b/src/request/refusal.ts
@@ -1,5 +1,8 @@
 import type { Outcome } from "./outcome.js";
 
+/** Error of a product of floating-point numbers, so that 1.1 isn't rounded up to 1.11. */
+const ROUNDING_ERROR = 1e-6;
+
 /** Reasons for refusing a request, with the HTTP status, the outcome and the advice to the caller. */
 const REFUSAL_KINDS = {
     "no-bundle": { status: 503, outcome: "not-run", retryAfterSeconds: 1, advice: "Send it again shortly." },
@@ -145,5 +148,14 @@
     };
 };
 
+/**
+ * The delay in seconds after which a caller may return, as the value of a field. It is rounded up, as callers that return too early
+ * are refused again.
+ *
+ * @example
+ * delayField(0.3512); // "0.36"
+ */
+export const delayField = (seconds: number): string => String(Math.ceil(seconds * 100 - ROUNDING_ERROR) / 100);
+
 /** Whether a string is a refusal kind; used to validate messages from peers. */
 export const isRefusalKind = (type: string): type is RefusalKind => Object.hasOwn(REFUSAL_KINDS, type);
--- a/test/failure/statedIntake.test.ts
+++ b/test/failure/statedIntake.test.ts
@@ -109,12 +109,13 @@
         targets = await Promise.all(stated.map((_, index) => startTarget(index)));
         store = new MemoryRowStore();
         const services = targets.map((_, index) => (alone && index > 0 ? `s${index}` : "stock"));
-        const config = standInConfig(
-            1,
-            services
-                .slice(1)
-                .map(name => [name, "shop.example", `/${name}/`, "idempotent", 1_500, 400, 2, name, 3, null]),
-        ) as { services: { rows: unknown[][] } };
+        const routeTo = (name: string, service: string, maxAttempts: number) => [
+            ...[name, "shop.example", `/${name}/`, "idempotent", 1_500, 400, 2, service, maxAttempts, null],
+        ];
+        const config = standInConfig(1, [
+            routeTo("once", "stock", 1),
+            ...services.slice(1).map(name => routeTo(name, name, 3)),
+        ]) as { services: { rows: unknown[][] } };
         config.services.rows = [...new Set(services)].map(name => [name, "/healthz", 130, keyed ? true : null]);
         store.put("op", "config", config);
         targets.forEach((target, index) => {
@@ -308,11 +309,28 @@
                 stated[0] = resting(notRun, "2");
                 const answers = await CALLER_WAYS.new(instances[0], sentAt => `/read/a0/${sentAt}`, GROUP);
                 expect(answers.map(({ status }) => status)).toEqual(Array(GROUP).fill(503));
-                expect(answers.filter(({ retryAfterMs = 0 }) => retryAfterMs < 1_900)).toEqual([]);
+                const toldAt = Math.min(...told().map(({ answeredAt }) => answeredAt));
+                const early = answers.filter(
+                    ({ receivedAt, retryAfterMs = 0 }) => receivedAt + retryAfterMs < toldAt + 2_000,
+                );
+                expect(early).toEqual([]);
                 expect(new Set(answers.map(({ retryAfterMs }) => retryAfterMs)).size).toBeGreaterThan(1);
             },
         );
 
+        it.each([["60"], ["1e9"]])(
+            "guards against %s seconds being handed to a caller whom another target serves",
+            async value => {
+                await start(1, 2);
+                stated[0] = resting(false, value);
+                const answers = await CALLER_WAYS.new(instances[0], sentAt => `/once/a0/${sentAt}`, BURST * 2);
+                const refused = answers.filter(({ status }) => status === 503);
+                expect(told().length).toBeGreaterThan(0);
+                expect(refused.length).toBeGreaterThanOrEqual(told().length);
+                expect(refused.filter(({ retryAfterMs = Infinity }) => retryAfterMs > 1_000)).toEqual([]);
+            },
+        );
+
         it("guards against odd values that take a target out for hours or that are misread as a rest", async () => {
             const date = new Date(Date.now() + 60_000).toUTCString();
             const none = [[], [""], ["0"], ["-1"], ["abc"], ["1e9"], [date], ["1, 2"]];
