--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -22,7 +22,7 @@
 
 test("guards against statements of targets that are missed because of blanks after their values", async () => {
     const target = await startScriptedTarget(({ answer }) =>
-        answer({ headers: ["Server-Leaving: 1 ", "Other: a b\t "] }),
+        answer({ headers: ["Stated: 1 ", "Other: a b\t "] }),
     );
     const connections = new TargetConnections(target.address, systemClock);
     const headers = await new Promise<Header[]>((resolve, reject) => {
@@ -37,5 +37,5 @@
     connections.dispose();
     await target.dispose();
     const valueOf = (wanted: string) => headers.find(({ name }) => name.toLowerCase() === wanted)?.value;
-    expect([valueOf("server-leaving"), valueOf("other")]).toEqual(["1", "a b"]);
+    expect([valueOf("stated"), valueOf("other")]).toEqual(["1", "a b"]);
 });
