--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -21,9 +21,7 @@
 );
 
 test("guards against statements of targets that are missed because of blanks after their values", async () => {
-    const target = await startScriptedTarget(({ answer }) =>
-        answer({ headers: ["Stated: 1 ", "Other: a b\t "] }),
-    );
+    const target = await startScriptedTarget(({ answer }) => answer({ headers: ["Stated: 1 ", "Other: a b\t "] }));
     const connections = new TargetConnections(target.address, systemClock);
     const headers = await new Promise<Header[]>((resolve, reject) => {
         const answer = { data: () => undefined, end: () => undefined, sent: () => undefined };
