Compress large assignments so that they fit in a row

A row takes 64 KiB, and a range takes some 150 bytes as text: with about 450 ranges the write is refused, and the assigner repeats it without end, so that no key gets a new owner any more. 276 targets and the pieces of busy ranges reach that.

An assignment of more than 16 KiB is compressed; 1,000 ranges with random identifiers take less than a row (keyMap.test.ts; as text they take about 150,000 bytes). Small assignments stay text.

--- a/src/process/gateway/__tests__/keyMap.test.ts
+++ b/src/process/gateway/__tests__/keyMap.test.ts
@@ -1,4 +1,12 @@
-import { emptyAssignment, KeyMap, KEY_COUNT, replaceRange } from "../keyMap.js";
+import {
+    decodeAssignment,
+    emptyAssignment,
+    encodeAssignment,
+    KeyMap,
+    KEY_COUNT,
+    replaceRange,
+    type KeyAssignment,
+} from "../keyMap.js";
 
 describe("KeyMap", () => {
     it("finds the owner at both ends of each range", () => {
@@ -32,3 +40,36 @@
         });
     });
 });
+
+describe("encodeAssignment", () => {
+    /** Bytes of a row's value. */
+    const ROW_BYTES = 65_536;
+    const assignmentOf = (count: number): KeyAssignment => ({
+        service: "stock",
+        fence: count,
+        ranges: Array.from({ length: count }, (_, index) => ({
+            from: index * 64,
+            to: index === count - 1 ? KEY_COUNT - 1 : index * 64 + 63,
+            target: `i-${((index * 2_654_435_761) >>> 0).toString(16)}`,
+            startedAtMs: 1_800_000_000_000 + index * 997,
+            address: `10.${index % 5}.${index % 250}.${index % 240}:8642`,
+            fence: index,
+            handover: `${((index * 40_503) >>> 0).toString(16)}${((index * 2_246_822_519) >>> 0).toString(16)}`,
+        })),
+    });
+
+    // With some hundred targets the text no longer fits in a row, and no key could be assigned any more.
+    it.each([22, 276, 1_000])("fits %d ranges in a row", count => {
+        const assignment = assignmentOf(count);
+        const value = encodeAssignment(assignment);
+        expect(value.length).toBeLessThan(ROW_BYTES);
+        expect(decodeAssignment(value)).toEqual(assignment);
+    });
+
+    it("decodes neither a truncated row nor other bytes", () => {
+        const value = encodeAssignment(assignmentOf(1_000));
+        expect(decodeAssignment(value.subarray(0, 1_000))).toBeUndefined();
+        expect(decodeAssignment(Buffer.from("no assignment"))).toBeUndefined();
+        expect(decodeAssignment(Buffer.alloc(0))).toBeUndefined();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -7,6 +7,7 @@
 import {
     decodeAssignment,
     emptyAssignment,
+    encodeAssignment,
     KEY_COUNT,
     overlaps,
     replaceRange,
@@ -664,7 +665,7 @@
     private async write(next: KeyAssignment, era: number): Promise<"committed" | "changed" | "restored" | "unknown"> {
         const { store, service, lease, logger } = this.options;
         const name = { table: ASSIGNMENT_TABLE, key: service };
-        const value = Buffer.from(JSON.stringify(next));
+        const value = encodeAssignment(next);
         while (!this.disposed && lease.isHeld()) {
             const { proof } = lease;
             if (proof === undefined) {
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -1,3 +1,5 @@
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { ok, Result } from "neverthrow";
 import { z } from "zod";
 import { parseJson } from "../runtime/parseJson.js";
 
@@ -39,14 +41,38 @@
 });
 export type KeyAssignment = z.infer<typeof keyAssignmentSchema>;
 
+/** Size in bytes from which an assignment is compressed: a row takes 64 KiB, which some hundred ranges fill as text. */
+const COMPRESSED_FROM_BYTES = 16_384;
+/** Maximum size of an assignment as text, in bytes; a range takes some 150 bytes, and there are at most `KEY_COUNT`. */
+const MAX_TEXT_BYTES = 16_777_216;
+/** First byte of an assignment that is stored as text. */
+const TEXT_START = "{".charCodeAt(0);
+
+const inflate = Result.fromThrowable((value: Buffer) =>
+    inflateRawSync(value, { maxOutputLength: MAX_TEXT_BYTES }).toString(),
+);
+
+/**
+ * Encodes an assignment for its row. A large one is compressed.
+ *
+ * @example
+ * const value = encodeAssignment(assignment);
+ */
+export const encodeAssignment = (assignment: KeyAssignment): Buffer => {
+    const text = Buffer.from(JSON.stringify(assignment));
+    return text.length < COMPRESSED_FROM_BYTES ? text : deflateRawSync(text);
+};
+
 /**
  * Decodes an assignment from its row; `undefined` if it is malformed.
  *
  * @example
  * const assignment = decodeAssignment(row.value);
  */
-export const decodeAssignment = (value: Buffer): KeyAssignment | undefined =>
-    keyAssignmentSchema.safeParse(parseJson(value.toString())).data;
+export const decodeAssignment = (value: Buffer): KeyAssignment | undefined => {
+    const text = value[0] === TEXT_START ? ok(value.toString()) : inflate(value);
+    return text.isErr() ? undefined : keyAssignmentSchema.safeParse(parseJson(text.value)).data;
+};
 
 /**
  * Looks up owners of keys.
