Spread the load of adjacent busy keys over many targets with one plan

Callers: when 200 adjacent keys get a third of the requests, all of these go to one owner, which sheds them. Each plan moved one piece away from an overloaded owner, and six pieces in all; the next plan waited for the slowest release of the last one. With 276 targets no piece was moved at all, because a piece had to carry 0.4% of the whole load, which is more than a fair share.

An owner now passes pieces to as many targets as have room, a third of the targets at a time. The least piece is a share of the receiver's fair load. Moves under way are part of the plan instead of stopping it. Ranges are indexed by owner; before, each plan and renewal compared each target with each range.

--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -33,6 +33,8 @@
     const calls = new GrantedTargets(clock);
     usedTargets.push(calls);
     let targets = ids.map(id => listed(id));
+    /** Pressure of targets by identifier, and load of all keys. */
+    const load = { pressure: new Map<string, number>(), weights: new Float64Array(KEY_COUNT).fill(1) };
     const others: DirectoryTarget[] = [];
     const create = () =>
         new KeyAssigner({
@@ -44,8 +46,8 @@
             lease,
             targets: () => targets,
             allTargets: () => [...targets, ...others],
-            measure: () => ({ capacity: 1, pressure: 0 }),
-            weights: () => new Float64Array(KEY_COUNT).fill(1),
+            measure: ({ entry: { id } }) => ({ capacity: 1, pressure: load.pressure.get(id) ?? 0 }),
+            weights: () => load.weights,
             leavingStated: target => {
                 target.intake.stateLeaving(clock);
                 target.usable = false;
@@ -62,6 +64,7 @@
         assignment,
         owners: () => new Set(assignment().ranges.map(({ target }) => target)),
         targets: () => targets,
+        load,
         others,
         setTargets: (next: DirectoryTarget[]) => {
             targets = next;
@@ -93,6 +96,23 @@
         expect(fixture.calls.log.some(line => line.startsWith("release t1:80"))).toBe(true);
     });
 
+    it("relieves an overloaded target while another one doesn't answer a release", async () => {
+        const fixture = await createFixture(["t1", "t2", "t3", "t4"]);
+        void fixture.create().start();
+        await advanceInSteps(fixture.clock, 5_000);
+        const [silent, busy] = fixture.assignment().ranges;
+        fixture.load.weights.fill(60, silent.from + 100, silent.from + 300);
+        fixture.load.pressure.set(silent.target, 3);
+        fixture.calls.silent.add(`${silent.target}:80`);
+        await advanceInSteps(fixture.clock, 1_000);
+        fixture.load.weights.fill(60, busy.from + 100, busy.from + 300);
+        fixture.load.pressure.set(busy.target, 3);
+        await advanceInSteps(fixture.clock, 2_000);
+        const releases = (id: string) => fixture.calls.log.filter(line => line.startsWith(`release ${id}:80`)).length;
+        expect(releases(silent.target)).toBe(0);
+        expect(releases(busy.target)).toBeGreaterThan(0);
+    });
+
     it("moves the keys of a target that states in its answers to renewals that it leaves, whatever its entry says", async () => {
         const fixture = await createFixture(["t1", "t2"]);
         void fixture.create().start();
--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -111,4 +111,39 @@
         }
         expect(keysOf(ranges, "t5") / KEY_COUNT).toBeGreaterThan(0.1);
     });
+
+    // Busy keys are next to each other, so one owner has the load of many. A plan with one piece for each overloaded owner
+    // took longer than the peak lasts, and with many targets no piece was large enough to be moved.
+    it.each([
+        { instances: 12, targets: 22 },
+        { instances: 67, targets: 123 },
+        { instances: 195, targets: 276 },
+        { instances: 576, targets: 815 },
+    ])("spreads adjacent busy keys over $targets targets of $instances instances within few plans", ({ targets }) => {
+        const ids = Array.from({ length: targets }, (_, index) => `t${index}`);
+        let ranges = evenRanges(ids);
+        const weights = new Float64Array(KEY_COUNT).fill(1);
+        weights.fill(KEY_COUNT / 100, 5_000, 5_060);
+        const loads = new KeyLoads(weights);
+        const loadOf = (id: string) =>
+            ranges.filter(range => range.target === id).reduce((sum, { from, to }) => sum + loads.of(from, to), 0);
+        const fair = loads.total / targets;
+        const pressureOf = (id: string) => (loadOf(id) > fair ? 2 : 0.4);
+        const busiest = () => Math.max(...ids.map(loadOf)) / fair;
+        expect(busiest()).toBeGreaterThan(7);
+        for (let plan = 0; plan < 5; plan++) {
+            const planned = ids.map(id => target(id, { pressure: pressureOf(id) }));
+            ranges = apply(ranges, planMoves({ ranges, targets: planned, loads, balance: true }));
+        }
+        // A key can't be divided, so its owner has at least its load.
+        expect(busiest()).toBeLessThan(1.5 + loads.of(5_000, 5_000) / fair);
+    });
+
+    it("moves no more keys for balance than may be moved at a time", () => {
+        const ranges = evenRanges(["t1", "t2", "t3", "t4"]);
+        const targets = ["t1", "t2", "t3", "t4", "t5"].map(id => target(id));
+        const plan = (underWay: number) => planMoves({ ranges, targets, loads: EVEN, balance: true, underWay });
+        expect(plan(5)).toHaveLength(1);
+        expect(plan(6)).toEqual([]);
+    });
 });
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -416,12 +416,14 @@
         if (this.assignment.fence === 0 && !this.hasSettled(now)) {
             return;
         }
-        const targets = [...this.tracked.values()].map(tracked => this.plannedTarget(tracked, now));
+        const owners = this.owners();
+        const targets = [...this.tracked.values()].map(tracked => this.plannedTarget(tracked, owners, now));
         const moves = planMoves({
-            ranges: this.assignment.ranges,
+            ranges: this.rangesAfterMoves(),
             targets: targets.filter(target => target !== undefined),
             loads: new KeyLoads(this.options.weights()),
-            balance: now >= this.balancedAt && this.moving.size === 0,
+            balance: now >= this.balancedAt,
+            underWay: this.moving.size,
         });
         for (const move of moves) {
             const isFree = [...this.moving].every(other => !overlaps(move, other));
@@ -433,18 +435,53 @@
         }
     }
 
+    /** Tracked targets that own keys, with their ranges. */
+    private owners(): Map<TrackedTarget, KeyRange[]> {
+        const owners = new Map<TrackedTarget, KeyRange[]>();
+        for (const range of this.assignment.ranges) {
+            const owner = this.ownerOf(range);
+            if (owner !== undefined) {
+                owners.set(owner, [...(owners.get(owner) ?? []), range]);
+            }
+        }
+        return owners;
+    }
+
+    /** The ranges as they are when the moves under way have ended, so that these aren't planned again. */
+    private rangesAfterMoves(): KeyRange[] {
+        return [...this.moving].reduce((ranges, { from, to, target }) => {
+            const receiver = this.receiverOf(target);
+            if (receiver === undefined) {
+                return ranges;
+            }
+            const { id, startedAtMs, address } = receiver.listed.entry;
+            return replaceRange(ranges, { from, to, target: id, startedAtMs, address, fence: this.assignment.fence });
+        }, this.assignment.ranges);
+    }
+
+    /** The usable target with this identifier. */
+    private receiverOf(id: string): TrackedTarget | undefined {
+        return [...this.tracked.values()].find(
+            ({ listed, ended }) => listed.entry.id === id && !ended && listed.usable,
+        );
+    }
+
     /** Whether most targets are likely to have registered; keys would have to be moved to those that register later. */
     private hasSettled(now: number): boolean {
         const times = this.options.targets().map(({ seenAt }) => seenAt);
         return now - Math.max(...times) > SETTLING_MS && now - Math.min(...times) > FIRST_ASSIGNMENT_MS;
     }
 
-    private plannedTarget(tracked: TrackedTarget, now: number): PlannedTarget | undefined {
+    private plannedTarget(
+        tracked: TrackedTarget,
+        owners: ReadonlyMap<TrackedTarget, unknown>,
+        now: number,
+    ): PlannedTarget | undefined {
         if (tracked.ended) {
             return undefined;
         }
         const { entry, usable } = tracked.listed;
-        const holdsKeys = this.assignment.ranges.some(range => this.ownerOf(range) === tracked);
+        const holdsKeys = owners.has(tracked);
         // A target whose grants have expired without an answer is unreachable.
         const isReached = holdsKeys ? now < tracked.grants.endsAt() : !tracked.grants.isSilent(now);
         const isListed = tracked.goneAt === undefined;
@@ -486,9 +523,7 @@
 
     private async move(move: KeyMove): Promise<void> {
         const { clock, lease, logger, service } = this.options;
-        const receiver = [...this.tracked.values()].find(
-            ({ listed, ended }) => listed.entry.id === move.target && !ended && listed.usable,
-        );
+        const receiver = this.receiverOf(move.target);
         if (receiver === undefined) {
             return;
         }
@@ -783,16 +818,16 @@
         }
         this.observe();
         const now = this.options.clock.monotonicMs();
-        const isStranded = this.isStranded(now);
+        const owners = this.owners();
+        const isStranded = this.isStranded(owners, now);
         for (const tracked of this.tracked.values()) {
             const isGone = tracked.goneAt !== undefined;
             const isRenewable = tracked.grants.isRenewable(now, isGone) || (isStranded && !isGone);
             if (tracked.ended || !isRenewable || tracked.isRenewing) {
                 continue;
             }
-            const ranges = this.assignment.ranges
-                .filter(range => this.ownerOf(range) === tracked)
-                .flatMap(range => withoutRanges(range, [...this.moving]));
+            const moving = [...this.moving];
+            const ranges = (owners.get(tracked) ?? []).flatMap(range => withoutRanges(range, moving));
             tracked.isRenewing = true;
             tracked.renewing = Promise.all(ranges.map(range => this.grant(tracked, range))).finally(() => {
                 tracked.isRenewing = false;
@@ -801,8 +836,10 @@
     }
 
     /** Whether no target can be reached, so that owners are granted their keys again after their grants have expired. */
-    private isStranded(now: number): boolean {
-        return ![...this.tracked.values()].some(tracked => this.plannedTarget(tracked, now)?.canReceive === true);
+    private isStranded(owners: ReadonlyMap<TrackedTarget, unknown>, now: number): boolean {
+        return ![...this.tracked.values()].some(
+            tracked => this.plannedTarget(tracked, owners, now)?.canReceive === true,
+        );
     }
 
     private pause(durationMs: number): Promise<void> {
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -30,7 +30,7 @@
 export const HIGH_PRESSURE = 0.9;
 /** Share of its owner's load from which a key counts as hot. */
 const HOT_KEY_SHARE = 0.5;
-/** Maximum number of moves at a time that make room for a hot key. */
+/** Maximum number of moves at a time that make room for one hot key. */
 const MAX_ISOLATING_MOVES = 8;
 /** Ratio of capacities from which a hot key is moved to a faster target; the key isn't served while it moves. */
 const FASTER_TARGET_RATIO = 1.35;
@@ -40,13 +40,18 @@
 const FILL_RATIO = 0.8;
 /** Maximum share of an owner's load that one move to a new target may carry. */
 const FILL_SHARE = 0.4;
-/** Maximum number of moves for balance at a time; the keys of each move wait for the former owner's running work. */
-const MAX_BALANCE_MOVES = 6;
-/** Minimum share of the total load that a move for balance must carry; less isn't worth the wait. */
-const MIN_MOVED_SHARE = 0.004;
+/**
+ * Maximum number of moves for balance at a time: a share of the number of targets, and a minimum for few targets. Keys that are
+ * busy together are next to each other, so one owner may have to pass its load to many targets at once.
+ */
+const BALANCE_MOVES_SHARE = 1 / 3;
+const MIN_BALANCE_MOVES = 6;
+/** Minimum load of a move for balance, as a share of the receiver's fair share; less isn't worth the wait. */
+const MIN_MOVED_SHARE = 0.09;
 
 interface Holding {
     target: PlannedTarget;
+    ranges: readonly KeyRange[];
     load: number;
     fairLoad: number;
 }
@@ -135,15 +140,13 @@
 
 /**
  * A piece of a target's keys that carries about `wanted` load, from that end of its range with the highest load where it
- * fits best.
+ * fits best. A piece that would carry less than `least` gets one more key, as a busy key may be next to it.
  */
 const choosePiece = (
-    ranges: readonly KeyRange[],
-    holding: Holding,
-    wanted: number,
+    own: readonly KeyRange[],
+    { wanted, least }: { wanted: number; least: number },
     loads: KeyLoads,
 ): { from: number; to: number } | undefined => {
-    const own = ranges.filter(({ target }) => target === holding.target.id);
     const loadOf = ({ from, to }: { from: number; to: number }) => loads.of(from, to);
     const [largest] = [...own].sort((a, b) => loadOf(b) - loadOf(a));
     if (largest === undefined || (own.length === 1 && largest.from === largest.to)) {
@@ -153,73 +156,84 @@
     // One key stays, so that balancing never leaves a target without keys.
     const lowest = own.length === 1 ? from + 1 : from;
     const highest = own.length === 1 ? to - 1 : to;
+    const last = loads.lastKeyWithin(from, highest, wanted);
+    const first = loads.firstKeyWithin(lowest, to, wanted);
     const pieces = [
-        { from, to: loads.lastKeyWithin(from, highest, wanted) },
-        { from: loads.firstKeyWithin(lowest, to, wanted), to },
+        { from, to: loads.of(from, last) < least ? Math.min(last + 1, highest) : last },
+        { from: loads.of(first, to) < least ? Math.max(first - 1, lowest) : first, to },
     ];
     const fitting = pieces.filter(piece => loadOf(piece) <= wanted).sort((a, b) => loadOf(b) - loadOf(a));
     return fitting[0] ?? pieces.sort((a, b) => loadOf(a) - loadOf(b))[0];
 };
 
 /** Assigns new targets a share of the keys of the targets with the highest load. */
-const fillNew = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+const fillNew = (holdings: readonly Holding[], loads: KeyLoads, maxMoves: number): KeyMove[] => {
     const moves: KeyMove[] = [];
-    const sources = holdings
-        .filter(({ target, load, fairLoad }) => target.canRelease && load > fairLoad * FILL_RATIO)
-        .sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
+    const sources = byRelativeLoad(
+        holdings.filter(({ target, load, fairLoad }) => target.canRelease && load > fairLoad * FILL_RATIO),
+    );
     for (const holding of holdings) {
         const { target, fairLoad } = holding;
         if (!target.canReceive || holding.load >= fairLoad * IDLE_RATIO) {
             continue;
         }
-        while (holding.load < fairLoad * FILL_RATIO && moves.length < MAX_BALANCE_MOVES) {
+        while (holding.load < fairLoad * FILL_RATIO && moves.length < maxMoves) {
             const source = sources.shift();
             if (source === undefined) {
                 return moves;
             }
             const wanted = Math.min(source.load * FILL_SHARE, fairLoad * FILL_RATIO - holding.load);
-            moves.push(...movePiece(ranges, source, holding, wanted, loads));
+            moves.push(...movePiece(source, holding, wanted, loads));
         }
     }
     return moves;
 };
 
+/** Holdings with the highest load in relation to their fair share first. */
+const byRelativeLoad = (holdings: readonly Holding[]): Holding[] =>
+    [...holdings].sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
+
 /** Whether requests wait for a target that can release keys and has more than its fair share of the load. */
 const isOverloaded = ({ target, load, fairLoad }: Holding): boolean =>
     target.canReceive && target.canRelease && target.pressure >= HIGH_PRESSURE && load > fairLoad * OVERLOAD_RATIO;
 
 /**
- * Makes room for one key that overloads its owner: the owner's other keys are moved to the targets with the lowest load,
- * then the key itself to a much faster target. A single key can't be divided, so the most that it can get is a fast target
- * of its own.
+ * Makes room for keys that overload their owners by themselves: the other keys of such an owner are moved to the targets with
+ * the lowest load, then the key itself to a much faster target. A single key can't be divided, so the most that it can get is
+ * a fast target of its own.
  */
-const isolateHotKey = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
-    for (const holding of holdings) {
-        const { target, load, fairLoad } = holding;
-        if (!isOverloaded(holding)) {
-            continue;
-        }
-        const own = ranges.filter(range => range.target === target.id);
-        const hottest = hottestKey(own, loads);
-        const hotLoad = loads.of(hottest, hottest);
-        if (hotLoad < load * HOT_KEY_SHARE || hotLoad < fairLoad) {
-            continue;
-        }
-        const others = holdings.filter(other => other !== holding && other.target.pressure < HIGH_PRESSURE);
-        const moves = own
-            .flatMap(range => withoutRanges(range, [{ from: hottest, to: hottest }]))
-            .flatMap(range => placeRange(range, target.id, others, loads));
-        if (moves.length > 0) {
-            return moves.slice(0, MAX_ISOLATING_MOVES);
-        }
-        const [fastest] = others
-            .filter(other => other.target.canReceive)
-            .sort((a, b) => b.target.capacity - a.target.capacity);
-        if (fastest !== undefined && fastest.target.capacity > target.capacity * FASTER_TARGET_RATIO) {
-            return [{ from: hottest, to: hottest, source: target.id, target: fastest.target.id }];
+const isolateHotKeys = (holdings: readonly Holding[], loads: KeyLoads, maxMoves: number): KeyMove[] => {
+    const moves: KeyMove[] = [];
+    const overloaded = byRelativeLoad(holdings.filter(isOverloaded));
+    for (const holding of overloaded) {
+        if (moves.length >= maxMoves) {
+            break;
         }
+        moves.push(...isolateHotKey(holding, holdings, loads));
+    }
+    return moves;
+};
+
+const isolateHotKey = (holding: Holding, holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+    const { target, ranges, load, fairLoad } = holding;
+    const hottest = hottestKey(ranges, loads);
+    const hotLoad = loads.of(hottest, hottest);
+    if (hotLoad < load * HOT_KEY_SHARE || hotLoad < fairLoad) {
+        return [];
     }
-    return [];
+    const others = holdings.filter(other => other !== holding && other.target.pressure < HIGH_PRESSURE);
+    const moves = ranges
+        .flatMap(range => withoutRanges(range, [{ from: hottest, to: hottest }]))
+        .flatMap(range => placeRange(range, target.id, others, loads));
+    if (moves.length > 0) {
+        return moves.slice(0, MAX_ISOLATING_MOVES);
+    }
+    const [fastest] = others
+        .filter(other => other.target.canReceive)
+        .sort((a, b) => b.target.capacity - a.target.capacity);
+    return fastest !== undefined && fastest.target.capacity > target.capacity * FASTER_TARGET_RATIO
+        ? [{ from: hottest, to: hottest, source: target.id, target: fastest.target.id }]
+        : [];
 };
 
 /** The key with the highest load in some ranges. */
@@ -238,32 +252,35 @@
     return hottest;
 };
 
-/** Moves keys away from targets at which requests wait and that have more than their fair share. */
-const relieve = (ranges: readonly KeyRange[], holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+/**
+ * Moves keys away from targets at which requests wait and that have more than their fair share. One target may pass keys to many
+ * others, each of which gets one piece.
+ */
+const relieve = (holdings: readonly Holding[], loads: KeyLoads, maxMoves: number): KeyMove[] => {
     const moves: KeyMove[] = [];
     const receivers = new Set(holdings.filter(({ target }) => target.canReceive && target.pressure < HIGH_PRESSURE));
-    const overloaded = holdings.filter(isOverloaded).sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
-    for (const holding of overloaded) {
-        const receiver = leastLoaded([...receivers]);
-        if (receiver === undefined || receiver.load > receiver.fairLoad * FULL_RATIO) {
-            break;
+    for (const holding of byRelativeLoad(holdings.filter(isOverloaded))) {
+        while (moves.length < maxMoves && holding.load > holding.fairLoad * OVERLOAD_RATIO) {
+            const receiver = leastLoaded([...receivers]);
+            if (receiver === undefined || receiver.load > receiver.fairLoad * FULL_RATIO) {
+                return moves;
+            }
+            const wanted = Math.min(holding.load - holding.fairLoad, receiver.fairLoad * FULL_RATIO - receiver.load);
+            const [move] = movePiece(holding, receiver, wanted, loads);
+            if (move === undefined) {
+                break;
+            }
+            moves.push(move);
+            receivers.delete(receiver);
         }
-        const wanted = Math.min(holding.load - holding.fairLoad, receiver.fairLoad * FULL_RATIO - receiver.load);
-        moves.push(...movePiece(ranges, holding, receiver, wanted, loads));
-        receivers.delete(receiver);
     }
     return moves;
 };
 
 /** Moves about `wanted` load from one target to another, if that lowers the higher relative load of the two. */
-const movePiece = (
-    ranges: readonly KeyRange[],
-    source: Holding,
-    receiver: Holding,
-    wanted: number,
-    loads: KeyLoads,
-): KeyMove[] => {
-    const piece = choosePiece(ranges, source, wanted, loads);
+const movePiece = (source: Holding, receiver: Holding, wanted: number, loads: KeyLoads): KeyMove[] => {
+    const least = receiver.fairLoad * MIN_MOVED_SHARE;
+    const piece = choosePiece(source.ranges, { wanted, least }, loads);
     if (piece === undefined) {
         return [];
     }
@@ -271,9 +288,10 @@
     const isBetter =
         Math.max((receiver.load + moved) / receiver.fairLoad, (source.load - moved) / source.fairLoad) <
         source.load / source.fairLoad;
-    if (moved < loads.total * MIN_MOVED_SHARE || !isBetter) {
+    if (moved < least || !isBetter) {
         return [];
     }
+    source.ranges = source.ranges.flatMap(range => withoutRanges(range, [piece]));
     source.load -= moved;
     receiver.load += moved;
     return [{ ...piece, source: source.target.id, target: receiver.target.id }];
@@ -293,15 +311,20 @@
     loads: KeyLoads;
     /** Whether keys may also be moved for balance alone. */
     balance: boolean;
+    /** Number of moves that haven't ended; `ranges` include their result. */
+    underWay?: number;
 }): KeyMove[] => {
-    const { ranges, targets, loads, balance } = input;
+    const { ranges, targets, loads, balance, underWay = 0 } = input;
     const receivers = targets.filter(({ canReceive }) => canReceive);
     const capacity = receivers.reduce((sum, target) => sum + target.capacity, 0);
     if (capacity === 0) {
         return [];
     }
-    const holdings = targets.map(target => ({
+    const rangesOf = new Map<string, KeyRange[]>();
+    ranges.forEach(range => rangesOf.set(range.target, [...(rangesOf.get(range.target) ?? []), range]));
+    const holdings: Holding[] = targets.map(target => ({
         target,
+        ranges: rangesOf.get(target.id) ?? [],
         load: 0,
         fairLoad: target.canReceive ? (loads.total * target.capacity) / capacity : 0,
     }));
@@ -325,11 +348,12 @@
             moves.push(...placeRange(range, range.target, holdings, loads));
         }
     }
-    if (!balance || moves.length > 0) {
+    const maxMoves = Math.max(MIN_BALANCE_MOVES, Math.ceil(receivers.length * BALANCE_MOVES_SHARE)) - underWay;
+    if (!balance || moves.length > 0 || maxMoves <= 0) {
         return moves;
     }
-    const isolating = isolateHotKey(ranges, holdings, loads);
-    return isolating.length > 0
-        ? isolating
-        : [...fillNew(ranges, holdings, loads), ...relieve(ranges, holdings, loads)].slice(0, MAX_BALANCE_MOVES);
+    const isolating = isolateHotKeys(holdings, loads, maxMoves);
+    const isolated = new Set(isolating.map(({ source }) => source));
+    const others = holdings.filter(({ target }) => !isolated.has(target.id));
+    return [...isolating, ...fillNew(others, loads, maxMoves), ...relieve(others, loads, maxMoves)].slice(0, maxMoves);
 };
