Answer each request that a stopping instance has read

Callers: an instance takes requests for 3 s after the signal to stop, and callers may wait for 8 to 25 s. At the end of the grace period the process closed its connections: requests whose targets were still at work, orders among them, ended without an answer. A second signal, or an error that no code handles, ended them at once.

The grace period is now divided (stopSchedule): requests are accepted for 3 s, targets may answer until a tenth of the period is left, and then each request gets its final answer: 504 where it may have run, 503 with a short Retry-After where it hasn't. Answers that are being forwarded go on to the end. Targets get the shortened deadline. A request isn't sent, nor sent again, if a slow answer of its target wouldn't arrive in time; it is refused at once, as another instance can serve it. Further signals are ignored, and after an unhandled error the process answers its requests before it exits with code 3.

SIGHUP changes nothing for requests. Waits for connections and permits aren't in the tests.

--- a/src/bin/daemon.ts
+++ b/src/bin/daemon.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { Command } from "commander";
 import { startEntryInstance } from "../process/entryInstance.js";
+import { onStopSignal } from "../process/runtime/stopSignals.js";
 import { formatInputProblem } from "../process/settings/inputProblem.js";
 import { loadSettings } from "../process/settings/loadSettings.js";
 
@@ -25,8 +26,7 @@
     }
     // The system may choose the ports, so the actual addresses are printed for the program that started the process.
     console.log(JSON.stringify({ listening: started.value.listening }));
-    process.once("SIGTERM", () => void started.value.shutDown());
-    process.once("SIGINT", () => void started.value.shutDown());
+    onStopSignal(() => void started.value.shutDown());
     await started.value.ended;
     process.exit(0);
 };
--- a/src/process/gateway/__tests__/decideAdmission.test.ts
+++ b/src/process/gateway/__tests__/decideAdmission.test.ts
@@ -32,6 +32,14 @@
         expect(decision.type === "refuse" && decision.pauseMs).toBeLessThanOrEqual(300);
     });
 
+    it.each([
+        { stopsInMs: 450, decision: "admit" },
+        { stopsInMs: 350, decision: "stopping" },
+        { stopsInMs: undefined, decision: "admit" },
+    ])("leaves a slow answer of 400 ms to another instance if it stops in $stopsInMs ms", ({ stopsInMs, decision }) => {
+        expect(decideAdmission({ ...base, expectedMs: 100, stopsInMs }).type).toBe(decision);
+    });
+
     it("lets a retry wait as long as its deadline allows", () => {
         expect(decideAdmission({ ...base, elapsedMs: 200, leftMs: 1_000, expectedMs: 800 }).type).toBe("admit");
         expect(decideAdmission({ ...base, elapsedMs: 200, leftMs: 1_000, expectedMs: 950 }).type).toBe("refuse");
--- a/src/process/gateway/decideAdmission.ts
+++ b/src/process/gateway/decideAdmission.ts
@@ -9,6 +9,9 @@
 const MIN_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 400;
 
+/** Ratio of the time of a slow answer to the expected one. A stopping instance has no time for slower ones. */
+const SLOW_ANSWER_RATIO = 4;
+
 /** Input of the decision. Times are in milliseconds. */
 export interface AdmissionInput {
     /** Expected time until the target's answer. */
@@ -21,9 +24,15 @@
     elapsedMs: number;
     /** Time within which an answer has its full value to the caller, counted from the first attempt. */
     targetLatencyMs: number;
+    /** Time until the instance gives its last answers; missing unless it stops. */
+    stopsInMs?: number;
 }
 
-export type Admission = { type: "admit" } | { type: "refuse"; pauseMs: number };
+export type Admission =
+    | { type: "admit" }
+    | { type: "refuse"; pauseMs: number }
+    /** The instance stops before a slow answer would have arrived; another one can serve the caller. */
+    | { type: "stopping" };
 
 /**
  * Decides whether a request is sent to a busy target. It handles load peaks that last longer than the target's queue: with
@@ -35,7 +44,10 @@
  * decideAdmission({ expectedMs: 600, serviceMs: 100, leftMs: 1200, elapsedMs: 0, targetLatencyMs: 400 }); // refuse
  */
 export const decideAdmission = (input: AdmissionInput): Admission => {
-    const { expectedMs, serviceMs, leftMs, elapsedMs, targetLatencyMs } = input;
+    const { expectedMs, serviceMs, leftMs, elapsedMs, targetLatencyMs, stopsInMs = Infinity } = input;
+    if (expectedMs * SLOW_ANSWER_RATIO > stopsInMs) {
+        return { type: "stopping" };
+    }
     const latencyLeftMs = Math.max(0, targetLatencyMs - elapsedMs);
     const isWaiting = expectedMs > serviceMs;
     const isRetry = elapsedMs > 0;
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import { GatewayRequest, type ExcessivePart, type GatewayServices } from "../../request/gatewayRequest.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
+import { refuseStopping } from "../../request/refuseStopping.js";
 import { WeightedSplit } from "../../version/weightedSplit.js";
 import { repeat, type Clock, type TimerCancellation } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
@@ -33,6 +34,7 @@
 import { reportCrashes } from "./reportCrashes.js";
 import type { StoredRow } from "./rowStore.js";
 import { SharedLoad } from "./sharedLoad.js";
+import { stopSchedule } from "./stopSchedule.js";
 import { TableFollower } from "./tableFollower.js";
 import { isAccepting, type DirectoryTarget } from "./targetDirectory.js";
 import type { StatedLimit, TargetIntake } from "./targetIntake.js";
@@ -57,15 +59,10 @@
 const OUTAGE_MS = 1_000;
 /** Interval of the checks for an outage of the store, in milliseconds; a fraction of `OUTAGE_MS`. */
 const OUTAGE_CHECK_MS = 250;
-/**
- * Time for which a stopping instance still accepts requests, in milliseconds; the balancer needs it to notice the state.
- * Later requests might not be answered before the process ends.
- */
-const BALANCER_NOTICE_MS = 3_000;
-/** Retry pause that a stopping instance gives callers, in seconds; other instances can serve them immediately. */
-const STOPPING_PAUSE_S = 0.1;
 /** Interval at which idle connections are closed while stopping, in milliseconds. */
 const DRAIN_STEP_MS = 100;
+/** Time for which a process that has failed delivers its last answers, in milliseconds. */
+const FAILURE_DELIVERY_MS = 300;
 
 export interface GatewayOptions {
     instance: string;
@@ -129,8 +126,12 @@
     private readonly stalls: StallWatch;
     private readiness: HttpEndpoint | undefined;
     private isDraining = false;
+    /** Requests without a final answer. */
+    private readonly requests = new Set<GatewayRequest>();
     /** Monotonic time from which a stopping instance accepts no more requests, in milliseconds. */
     private acceptsUntil = Infinity;
+    /** Monotonic time at which a stopping instance gives its last answers, in milliseconds. */
+    private answersUntil = Infinity;
 
     constructor(private readonly options: GatewayOptions) {
         const { clock, loggers, platform, instance } = options;
@@ -290,6 +291,7 @@
             brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
             refusedConnection: target => this.suspects.targetEnded(target.id),
             ended: (request, outcome) => {
+                this.requests.delete(request);
                 if (outcome.type === "answered") {
                     this.suspects.answered(request.call);
                 }
@@ -347,17 +349,17 @@
 
     /**
      * Shuts the instance down: it reports itself as not ready to the balancer first, finishes running requests, and closes
-     * connections between requests.
+     * connections between requests. Requests whose targets don't answer in time get a final answer before the process ends.
      */
     async shutDown(): Promise<void> {
         const { clock, loggers, graceMs } = this.options;
         const began = clock.monotonicMs();
-        this.isDraining = true;
-        this.acceptsUntil = began + BALANCER_NOTICE_MS;
+        const { acceptsForMs, answersForMs, endsAfterMs } = stopSchedule(graceMs);
         loggers("daemon").info("Stopping.", { unfinished: this.server.unfinished() });
+        this.endBy(began + acceptsForMs, began + answersForMs);
         void this.assigners.release();
         const elapsedMs = () => clock.monotonicMs() - began;
-        while (elapsedMs() < BALANCER_NOTICE_MS || (this.server.unfinished() > 0 && elapsedMs() < graceMs)) {
+        while (elapsedMs() < acceptsForMs || (this.server.unfinished() > 0 && elapsedMs() < endsAfterMs)) {
             this.server.startDraining();
             await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
         }
@@ -365,6 +367,26 @@
         this.dispose();
     }
 
+    /** Gives all requests their final answer at once, because the process can't go on, and ends when these are delivered. */
+    async fail(): Promise<void> {
+        const { clock } = this.options;
+        const began = clock.monotonicMs();
+        this.endBy(began, began);
+        do {
+            this.server.startDraining();
+            await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
+        } while (this.server.unfinished() > 0 && clock.monotonicMs() - began < FAILURE_DELIVERY_MS);
+        this.dispose();
+    }
+
+    /** Has all requests end by a time, and accepts none from another time on; both are monotonic, in milliseconds. */
+    private endBy(acceptsUntil: number, answersUntil: number): void {
+        this.isDraining = true;
+        this.acceptsUntil = acceptsUntil;
+        this.answersUntil = answersUntil;
+        this.requests.forEach(request => request.endBy(answersUntil));
+    }
+
     dispose(): void {
         this.assigners.dispose();
         void this.disposables.dispose();
@@ -375,8 +397,7 @@
 
     private handle(call: GatewayCall, reply: GatewayReply): (end: CallerEnd) => void {
         if (this.options.clock.monotonicMs() >= this.acceptsUntil) {
-            const refusal = refuse("shutting-down", "The instance is stopping.", STOPPING_PAUSE_S);
-            return this.refuseUnrouted(call, reply, refusal);
+            return this.refuseUnrouted(call, reply, refuseStopping());
         }
         const lookup = this.config.current;
         if (lookup === undefined) {
@@ -397,6 +418,8 @@
             this.load.record(service, call.key);
         }
         const request = new GatewayRequest(call, route, service, this.measured(route.name, reply), this.services);
+        this.requests.add(request);
+        request.endBy(this.answersUntil);
         request.start();
         return end => request.callerGone(end);
     }
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -1,6 +1,7 @@
 import type { AttemptEnd } from "../../request/decideAfterAttempt.js";
 import type { Placement, PlacementQuery } from "../../request/gatewayRequest.js";
 import { refuse } from "../../request/refusal.js";
+import { refuseStopping } from "../../request/refuseStopping.js";
 import type { GatewayCall } from "../../request/gatewayCall.js";
 import type { RouteLookup } from "../../version/routeLookup.js";
 import { chooseTarget, expectedMs } from "./chooseTarget.js";
@@ -226,14 +227,20 @@
             leftMs: query.leftMs,
             elapsedMs: this.elapsedMs(query),
             targetLatencyMs: query.route.targetLatencyMs,
+            stopsInMs: query.stopsInMs,
         });
-        return admission.type === "admit"
-            ? { type: "target", target }
-            : this.refusal(
-                  "overloaded",
-                  `Target ${target.id} needs about ${Math.round(neededMs)} ms.`,
-                  admission.pauseMs / 1_000,
-              );
+        switch (admission.type) {
+            case "admit":
+                return { type: "target", target };
+            case "stopping":
+                return { type: "refuse", refusal: refuseStopping() };
+            case "refuse":
+                return this.refusal(
+                    "overloaded",
+                    `Target ${target.id} needs about ${Math.round(neededMs)} ms.`,
+                    admission.pauseMs / 1_000,
+                );
+        }
     }
 
     /** Refuses with jitter on the pause, so that callers who were refused together don't retry together. */
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -19,6 +19,7 @@
 } from "./gatewayCall.js";
 import type { HeldAnswer, HeldAnswers } from "./heldAnswers.js";
 import { delayField, refuse, type Refusal } from "./refusal.js";
+import { refuseStopping } from "./refuseStopping.js";
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
@@ -67,6 +68,8 @@
     limited: ReadonlyMap<GatewayTarget, number>;
     /** Milliseconds until the final answer is due. */
     leftMs: number;
+    /** Milliseconds until the instance gives its last answers; missing unless it stops. */
+    stopsInMs?: number;
 }
 
 /** Services of the process that a request depends on. */
@@ -177,7 +180,10 @@
     private isWaitingForPermit = false;
     /** Time from the arrival until the final answer is due, in milliseconds. */
     readonly allowedMs: number;
-    private readonly expiresAt: number;
+    /** Monotonic time in milliseconds at which the final answer is due. */
+    private readonly dueAt: number;
+    /** Monotonic time in milliseconds at which a stopping instance gives its last answers; `Infinity` unless it stops. */
+    private stopsAt = Infinity;
     private readonly dispose: TimerCancellation[] = [];
     private mayHaveRun = false;
     private isDone = false;
@@ -201,12 +207,12 @@
         private readonly services: GatewayServices,
     ) {
         this.allowedMs = Math.min(route.timeoutMs, (call.deadlineMs ?? Infinity) - REPLY_MARGIN_MS);
-        this.expiresAt = call.arrivedAt + this.allowedMs;
+        this.dueAt = call.arrivedAt + this.allowedMs;
     }
 
     /** Time left until the final answer is due, in milliseconds. */
     leftMs(): number {
-        return this.expiresAt - this.services.clock.monotonicMs();
+        return Math.min(this.dueAt, this.stopsAt) - this.services.clock.monotonicMs();
     }
 
     start(): void {
@@ -218,6 +224,18 @@
         this.place();
     }
 
+    /**
+     * Has the request end by a monotonic time in milliseconds, because the instance stops. An answer that is being forwarded
+     * then may take until its deadline.
+     */
+    endBy(stopsAt: number): void {
+        if (this.isDone || stopsAt >= this.dueAt) {
+            return;
+        }
+        this.stopsAt = stopsAt;
+        this.onTimeout(Math.max(0, this.leftMs()), () => this.expire());
+    }
+
     /**
      * Ends the request of a caller that has gone. A request that can't be repeated runs to its end at the target: if it
      * were aborted, it would be unknown whether it took effect.
@@ -282,7 +300,9 @@
 
     private query(): PlacementQuery {
         const { call, route, service, tried, unreached, notOwners, limited } = this;
-        return { call, route, service, tried, unreached, notOwners, limited, leftMs: this.leftMs() };
+        const leftMs = this.leftMs();
+        const stopsInMs = this.stopsAt === Infinity ? undefined : leftMs;
+        return { call, route, service, tried, unreached, notOwners, limited, leftMs, stopsInMs };
     }
 
     /** Sends the request to a target, if the target has no limit or its limit admits the request. */
@@ -684,8 +704,11 @@
         return (pauseFor(targetLatencyMs - spentMs, targetLatencyMs * EXPECTED_SERVICE_SHARE) / 1_000) * spread;
     }
 
+    /** Gives the final answer because its time has come, or that of the instance. */
     private expire(): void {
-        if (this.isDone) {
+        const now = this.services.clock.monotonicMs();
+        const isStopped = now < this.dueAt;
+        if (this.isDone || (isStopped && this.stream !== undefined)) {
             return;
         }
         const { attempt } = this;
@@ -693,12 +716,13 @@
             this.mayHaveRun = true;
             attempt.target.unansweredCall(attempt.startedAt);
         }
-        this.finishRefused(
-            this.mayHaveRun
-                ? refuse("answer-lost", `No answer came within ${Math.round(this.allowedMs)} ms.`)
-                : refuse("deadline-passed", this.lastRefusal.detail),
-        );
-        this.abortAttempt("its deadline has passed");
+        if (this.mayHaveRun) {
+            const waitedMs = Math.round(now - this.call.arrivedAt);
+            this.finishRefused(refuse("answer-lost", `No answer came within ${waitedMs} ms.`));
+        } else {
+            this.finishRefused(isStopped ? refuseStopping() : refuse("deadline-passed", this.lastRefusal.detail));
+        }
+        this.abortAttempt(isStopped ? "the instance stops" : "its deadline has passed");
     }
 
     /** Ends the request without a target's answer; the refusal depends on whether it may have run. */
--- a/test/failure/gatewayProcess.test.ts
+++ b/test/failure/gatewayProcess.test.ts
@@ -71,3 +71,13 @@
     expect(await exited).toBe(0);
     expect(has("Stopped.")).toBe(true);
 });
+
+test("guards against a second signal that ends a stopping process before it has answered its requests", async () => {
+    const { has, signal, exited } = await start();
+    signal("SIGTERM");
+    await waitFor(() => has("Stopping."));
+    signal("SIGTERM");
+    signal("SIGINT");
+    expect(await exited).toBe(0);
+    expect(has("Stopped.")).toBe(true);
+});
