End forwarded answers at their deadline also when the timer fires early

A timer may fire a fraction of a millisecond early. Since the stop that answers, the request then took its own deadline for a stop and went on forwarding an answer without end. The timers now state why they fire.

--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -220,7 +220,7 @@
             this.finishRefused(refuse("deadline-passed", "Its time had passed when it arrived."));
             return;
         }
-        this.onTimeout(this.leftMs(), () => this.expire());
+        this.onTimeout(this.dueAt - this.services.clock.monotonicMs(), () => this.expire("deadline"));
         this.place();
     }
 
@@ -233,7 +233,7 @@
             return;
         }
         this.stopsAt = stopsAt;
-        this.onTimeout(Math.max(0, this.leftMs()), () => this.expire());
+        this.onTimeout(Math.max(0, this.leftMs()), () => this.expire("stop"));
     }
 
     /**
@@ -275,7 +275,7 @@
             return;
         }
         if (this.leftMs() <= 0) {
-            this.expire();
+            this.expire(this.stopsAt < this.dueAt ? "stop" : "deadline");
             return;
         }
         if (this.sends >= this.route.maxAttempts) {
@@ -333,7 +333,7 @@
             return;
         }
         if (this.leftMs() <= 0) {
-            this.expire();
+            this.expire(this.stopsAt < this.dueAt ? "stop" : "deadline");
             return;
         }
         if (!this.services.takes(target, this.call)) {
@@ -705,9 +705,8 @@
     }
 
     /** Gives the final answer because its time has come, or that of the instance. */
-    private expire(): void {
-        const now = this.services.clock.monotonicMs();
-        const isStopped = now < this.dueAt;
+    private expire(cause: "deadline" | "stop"): void {
+        const isStopped = cause === "stop";
         if (this.isDone || (isStopped && this.stream !== undefined)) {
             return;
         }
@@ -717,7 +716,7 @@
             attempt.target.unansweredCall(attempt.startedAt);
         }
         if (this.mayHaveRun) {
-            const waitedMs = Math.round(now - this.call.arrivedAt);
+            const waitedMs = Math.round(this.services.clock.monotonicMs() - this.call.arrivedAt);
             this.finishRefused(refuse("answer-lost", `No answer came within ${waitedMs} ms.`));
         } else {
             this.finishRefused(isStopped ? refuseStopping() : refuse("deadline-passed", this.lastRefusal.detail));
