Relay changes of the store between instances

The instance that holds the assigner lease passes on what it reads: datagrams with the changed rows, or what distinguishes a large assignment from the last one, each with the version from which it continues and its age. The lease is read each 20 s while its holder is heard, and when it expires if the holder falls silent. In an outage one follower of an instance tries, and the others wait for it.

--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -10,7 +10,7 @@
 const createFollower = (
     store: MemoryRowStore,
     clock: ManualClock,
-    pauses: { pauseMs: number; minPauseMs?: number; waitMs?: number } = { pauseMs: 0 },
+    pauses: { pauseMs: number; minPauseMs?: number; waitMs?: number; isProbed?: () => boolean } = { pauseMs: 0 },
 ) => {
     const rows = new Map<string, unknown>();
     const regained: number[] = [];
@@ -26,9 +26,10 @@
         table: "t",
         clock,
         logger: SILENT_LOGGER,
-        waitMs: pauses.waitMs ?? 1,
+        waitMs: () => pauses.waitMs ?? 1,
         pauseMs: () => pauses.pauseMs,
         minPauseMs: pauses.minPauseMs,
+        isProbed: pauses.isProbed,
         followed: {
             replaced: all => {
                 snapshots.push("replaced");
@@ -39,8 +40,14 @@
                 replace(all);
             },
             eraBegan: era => eras.push(era),
-            changed: ({ key, value }) =>
-                value === undefined ? rows.delete(key) : rows.set(key, JSON.parse(String(value))),
+            changed: ({ key, value }) => {
+                if (value === undefined) {
+                    rows.delete(key);
+                } else {
+                    rows.set(key, JSON.parse(String(value)));
+                }
+                return undefined;
+            },
             recovered: silentMs => regained.push(silentMs),
         },
     });
@@ -359,4 +366,26 @@
         expect([eras, snapshots]).toEqual([[], ["replaced"]]);
         expect(follower.latestEra).toBe(1);
     });
+
+    // In an outage, each follower of each instance tried on its own.
+    it("leaves it to another follower to find out when the store answers again", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", 1);
+        const { follower, rows } = createFollower(store, clock, { pauseMs: 0, isProbed: () => true });
+        await advanceInSteps(clock, 100);
+        store.fault = "down";
+        await advanceInSteps(clock, 500);
+        const before = store.calls.changes;
+        await advanceInSteps(clock, 4_000);
+        expect(store.calls.changes).toBe(before);
+        store.fault = undefined;
+        store.put("t", "a", 2);
+        follower.retry();
+        await waitFor(async () => {
+            await advanceInSteps(clock, 10);
+            return rows.get("a") === 2;
+        });
+        follower.dispose();
+    });
 });
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -27,6 +27,10 @@
  * lease, and several instances read it at different times.
  */
 const WATCH_MS = 5_000;
+/** The same while messages of the holder show that it holds the lease. */
+const HEARD_WATCH_MS = 20_000;
+/** Time in milliseconds over which the reads of the instances are spread when the lease of a silent holder expires. */
+const EXPIRY_SPREAD_MS = 500;
 /** Minimum interval between reads that are made before they are due, in milliseconds. */
 const MIN_WATCH_MS = 1_000;
 /** Pause after a failed call, in milliseconds. */
@@ -107,6 +111,8 @@
     private watchedAt = -Infinity;
     /** Ends the pause before the next step. */
     private wake: () => void = () => undefined;
+    /** Whether the holder's messages have ended, so that its lease may expire. */
+    private isHolderSilent = false;
 
     constructor(
         private readonly options: {
@@ -127,6 +133,8 @@
             gained: (isContinuous: boolean) => void;
             /** Called after this process has lost the lease, which it may acquire again. */
             lost?: () => void;
+            /** Whether messages of the instance that holds the lease come. */
+            isHolderHeard?: () => boolean;
             random?: () => number;
         },
     ) {
@@ -179,6 +187,12 @@
         }
     }
 
+    /** Reads the lease because its holder's messages have ended, and again when it expires. */
+    holderSilent(): void {
+        this.isHolderSilent = true;
+        this.lookAgain();
+    }
+
     /** Takes the next step at once if the store is in a later era than the lease, which each instance has to learn of soon. */
     storeRestored(era: number): void {
         if (era > (this.era ?? era)) {
@@ -268,7 +282,16 @@
         if (isFree || Math.max(seenMs, writtenAgoMs) > EXPIRY_MS) {
             return this.write();
         }
-        return WATCH_MS * (0.9 + 0.2 * (this.options.random ?? Math.random)());
+        return this.watchPauseMs(EXPIRY_MS - Math.max(seenMs, writtenAgoMs));
+    }
+
+    /** Pause until the next read of a lease that expires in so many milliseconds. */
+    private watchPauseMs(expiresInMs: number): number {
+        const { random = Math.random, isHolderHeard } = this.options;
+        const isHeard = isHolderHeard?.() === true;
+        this.isHolderSilent &&= !isHeard;
+        const pauseMs = (isHeard ? HEARD_WATCH_MS : WATCH_MS) * (0.9 + 0.2 * random());
+        return this.isHolderSilent ? Math.min(pauseMs, expiresInMs + EXPIRY_SPREAD_MS * random()) : pauseMs;
     }
 
     private async write(): Promise<number> {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { GatewayTargets } from "./gatewayTargets.js";
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
 import { KeyAssigners } from "./keyAssigners.js";
+import { changeBetween, type KeyChange } from "./keyChange.js";
 import { KeyOwners } from "./keyOwners.js";
 import { LeavingExchange } from "./leavingExchange.js";
 import { LimitAdmitter } from "./limitAdmitter.js";
@@ -34,6 +35,7 @@
 import { reportCrashes } from "./reportCrashes.js";
 import type { StoredRow } from "./rowStore.js";
 import { SharedLoad } from "./sharedLoad.js";
+import { StoreRelay } from "./storeRelay.js";
 import { stopSchedule } from "./stopSchedule.js";
 import { TableFollower } from "./tableFollower.js";
 import { isAccepting, type DirectoryTarget } from "./targetDirectory.js";
@@ -55,6 +57,16 @@
 const SHARED_CHANGES_PAUSE_MS = 40;
 /** The same for key owners otherwise. A target refuses keys that it has released, so a stale owner does no harm. */
 const OWNERS_CHANGES_PAUSE_MS = 1_000;
+/**
+ * The same waits on the instance that passes changes on to the others, in milliseconds. An answer shows the others that the
+ * instance still reaches the store.
+ */
+const SOURCE_CONFIG_WAIT_MS = 800;
+const SOURCE_SHARED_WAIT_MS = 2_500;
+/** Age from which relayed configs and targets are too old, in milliseconds; both must apply within 2 seconds. */
+const CONFIG_MAX_AGE_MS = 1_600;
+/** The same for rows shared among instances. */
+const SHARED_MAX_AGE_MS = 4_000;
 /** Time without an answer from the store after which it counts as unreachable, in milliseconds. */
 const OUTAGE_MS = 1_000;
 /** Interval of the checks for an outage of the store, in milliseconds; a fraction of `OUTAGE_MS`. */
@@ -64,6 +76,10 @@
 /** Time for which a process that has failed delivers its last answers, in milliseconds. */
 const FAILURE_DELIVERY_MS = 300;
 
+/** How rows are followed that the operator or targets write, and rows that instances share. */
+const OPERATOR_ROWS = { waitMs: CONFIG_WAIT_MS, sourceWaitMs: SOURCE_CONFIG_WAIT_MS, maxAgeMs: CONFIG_MAX_AGE_MS };
+const SHARED_ROWS = { waitMs: SHARED_WAIT_MS, sourceWaitMs: SOURCE_SHARED_WAIT_MS, maxAgeMs: SHARED_MAX_AGE_MS };
+
 export interface GatewayOptions {
     instance: string;
     /** Failure domain. */
@@ -109,10 +125,13 @@
     private readonly admitter: LimitAdmitter;
     private readonly limits: LimitExchange;
     private readonly leaving: LeavingExchange;
+    private readonly relay: StoreRelay;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
     private readonly ownersFollower: TableFollower;
+    /** Finds out for all followers when the store answers again after a failure. */
+    private readonly configFollower: TableFollower;
     private readonly followers: TableFollower[];
     private readonly assigners: KeyAssigners;
     private readonly server: GatewayServer;
@@ -187,6 +206,14 @@
             unanswered: () => this.assigners.lease.lookAgain(),
         });
         this.peers.handle(this.leaving.receive);
+        this.relay = new StoreRelay({
+            clock,
+            isSource: () => this.assigners.lease.isHeld(),
+            source: () => parsePeerAddress(this.assigners.lease.assignerAddress),
+            send: (address, content) => this.peers.send(address, content),
+            silent: () => this.assigners.lease.holderSilent(),
+        });
+        this.peers.handle(this.relay.receive);
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
             keyMap: service => this.owners.of(service),
@@ -202,24 +229,26 @@
         const { tables } = platform;
         this.ownersFollower = this.follow({
             table: ASSIGNMENT_TABLE,
-            waitMs: SHARED_WAIT_MS,
-            pauseMs: () => OWNERS_CHANGES_PAUSE_MS,
+            ...SHARED_ROWS,
+            pauseMs: () => (this.relay.isSending ? SHARED_CHANGES_PAUSE_MS : OWNERS_CHANGES_PAUSE_MS),
             minPauseMs: SHARED_CHANGES_PAUSE_MS,
             replaced: rows => rows.forEach(row => this.owners.rowChanged(row)),
-            changed: row => this.owners.rowChanged(row),
+            changed: row => this.ownersChanged(row),
+            patched: change => this.owners.changed(change),
+        });
+        this.configFollower = this.follow({
+            table: tables.config,
+            ...OPERATOR_ROWS,
+            pauseMs: () => 0,
+            replaced: rows => rows.forEach(row => this.configChanged(row)),
+            changed: row => this.configChanged(row),
         });
         this.followers = [
             this.ownersFollower,
-            this.follow({
-                table: tables.config,
-                waitMs: CONFIG_WAIT_MS,
-                pauseMs: () => 0,
-                replaced: rows => rows.forEach(row => this.configChanged(row)),
-                changed: row => this.configChanged(row),
-            }),
+            this.configFollower,
             this.follow({
                 table: tables.targets,
-                waitMs: CONFIG_WAIT_MS,
+                ...OPERATOR_ROWS,
                 // The assigner has to move the keys of leaving targets without delay.
                 pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
                 replaced: rows => this.targets.listed(rows),
@@ -228,7 +257,7 @@
             }),
             this.follow({
                 table: CRASH_TABLE,
-                waitMs: SHARED_WAIT_MS,
+                ...SHARED_ROWS,
                 pauseMs: () => SHARED_CHANGES_PAUSE_MS,
                 replaced: rows => rows.forEach(row => this.suspects.rowChanged(row)),
                 restored: rows => this.suspects.restored(rows),
@@ -245,6 +274,7 @@
             targets: this.targets,
             load: this.load,
             leavingStated: listed => this.leavingStated(listed),
+            isSourceHeard: () => this.relay.isHeard,
             admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
             isFirstStart: options.isFirstStart,
@@ -341,7 +371,9 @@
         await this.peers.start();
         this.disposables.add(this.load);
         this.disposables.add(this.leaving);
+        this.disposables.add(this.relay);
         this.load.start();
+        this.relay.start();
         const metrics = await this.serveMetrics();
         loggers("daemon").info("Started.", { domain, callers: `${callers.host}:${port}`, metrics });
         return { callers: port, readiness: this.readiness.port, metrics };
@@ -590,31 +622,60 @@
     private follow(options: {
         table: string;
         waitMs: number;
+        /** The same while this instance passes changes on. */
+        sourceWaitMs: number;
+        /** Age from which relayed changes are too old, in milliseconds. */
+        maxAgeMs: number;
         pauseMs: () => number;
         minPauseMs?: number;
         replaced: (rows: StoredRow[]) => void;
         /** Applies the first snapshot of a restored store; `replaced` by default. */
         restored?: (rows: StoredRow[]) => void;
-        changed: (row: StoredRow) => void;
+        changed: (row: StoredRow) => KeyChange | void;
+        patched?: (change: KeyChange) => boolean;
     }): TableFollower {
-        const { table, waitMs, pauseMs, minPauseMs, replaced, restored = replaced, changed } = options;
+        const { table, waitMs, sourceWaitMs, maxAgeMs, pauseMs, minPauseMs, replaced, restored = replaced } = options;
         const { clock, loggers, platform } = this.options;
-        return new TableFollower({
+        const follower: TableFollower = new TableFollower({
             store: platform.store,
             table,
             clock,
             logger: loggers("platform"),
-            waitMs,
+            waitMs: () => (this.relay.isSending ? sourceWaitMs : waitMs),
             pauseMs,
             minPauseMs,
+            isProbed: () => follower !== this.configFollower && this.configFollower.isFailing,
             followed: {
                 replaced,
                 restored,
-                changed,
+                changed: row => options.changed(row) ?? undefined,
+                patched: options.patched,
                 eraBegan: era => this.storeRestored(era),
-                recovered: () => this.checkOutage(),
+                recovered: () => {
+                    this.checkOutage();
+                    if (follower === this.configFollower) {
+                        this.followers.forEach(other => other.retry());
+                    }
+                },
+            },
+            relay: {
+                maxAgeMs,
+                isSource: () => this.assigners.lease.isHeld(),
+                read: step => this.relay.read(table, step),
             },
         });
+        this.relay.cover(table, follower);
+        return follower;
+    }
+
+    /** Applies the row of an assignment. Returns the change, if it is to be passed on. */
+    private ownersChanged(row: StoredRow): KeyChange | undefined {
+        const earlier = this.owners.of(row.key)?.assignment;
+        this.owners.rowChanged(row);
+        const later = this.owners.of(row.key)?.assignment;
+        return this.relay.isSending && earlier !== undefined && later !== undefined
+            ? changeBetween(earlier, later)
+            : undefined;
     }
 
     /** Passes on to all that follow the store that it was restored from a copy. */
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -37,6 +37,8 @@
             load: Pick<SharedLoad, "weights">;
             /** Called when a target states in an answer to a grant or release that it leaves. */
             leavingStated: (target: DirectoryTarget) => void;
+            /** Whether messages of the instance that assigns keys come. */
+            isSourceHeard?: () => boolean;
             /** Whether the whole system starts for the first time. */
             isFirstStart?: boolean;
             /** Admits requests to targets with limits while this instance holds the lease. */
@@ -54,6 +56,7 @@
             clock,
             logger,
             isFirstStart,
+            isHolderHeard: options.isSourceHeard,
             gained: isContinuous => {
                 if (isContinuous) {
                     this.assigners.forEach(assigner => void assigner.resume());
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -7,7 +7,7 @@
 export const KEY_COUNT = 65_536;
 
 /** A range of keys, both ends included, with its owner. */
-const keyRangeSchema = z.object({
+export const keyRangeSchema = z.object({
     from: z
         .number()
         .int()
--- a/src/process/gateway/keyOwners.ts
+++ b/src/process/gateway/keyOwners.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
-import { decodeAssignment, KeyMap } from "./keyMap.js";
+import { applyChange, type KeyChange } from "./keyChange.js";
+import { decodeAssignment, KeyMap, type KeyAssignment } from "./keyMap.js";
 import type { StoredRow } from "./rowStore.js";
 
 /**
@@ -37,10 +38,30 @@
             this.options.logger.error("An assignment can't be read.", { row: row.key });
             return;
         }
-        const { service, fence } = assignment;
-        if (fence < (this.maps.get(service)?.assignment.fence ?? 0)) {
-            return;
+        if (assignment.fence >= (this.maps.get(assignment.service)?.assignment.fence ?? 0)) {
+            this.replace(assignment);
+        }
+    }
+
+    /** Applies a change that another instance has read; `false` if it doesn't follow on from the known assignment. */
+    changed(change: KeyChange): boolean {
+        const known = this.maps.get(change.service)?.assignment;
+        if (known === undefined) {
+            return false;
+        }
+        if (change.fence <= known.fence) {
+            return true;
         }
+        const assignment = applyChange(known, change);
+        if (assignment === undefined) {
+            return false;
+        }
+        this.replace(assignment);
+        return true;
+    }
+
+    private replace(assignment: KeyAssignment): void {
+        const { service } = assignment;
         this.maps.set(service, new KeyMap(assignment, this.options.clock.monotonicMs()));
         const waits = this.waits.get(service);
         this.waits.delete(service);
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -1,6 +1,9 @@
 import type { Clock } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { PlatformError } from "../store/platformError.js";
+import type { KeyChange } from "./keyChange.js";
+import type { RelayedChanges, RelayedRow } from "./relayMessage.js";
+import type { TableStep } from "./relayStream.js";
 import type { RowStore, StoredRow } from "./rowStore.js";
 
 /**
@@ -11,9 +14,23 @@
 /** Maximum pause after a failed call, in milliseconds; limits the delay until the store's recovery is noticed. */
 const MAX_PAUSE_MS = 500;
 
+/**
+ * Pause after a failed call while another follower finds out when the store answers again, in milliseconds. It ends with
+ * `retry`.
+ */
+const PROBED_PAUSE_MS = 5_000;
+
 /** Time within which the store answers a call if there are changes, in milliseconds; a call that takes longer found none. */
 const READ_MS = 30;
 
+/**
+ * Maximum wait for relayed changes before it is checked whether this instance has to read the store, in milliseconds; it may
+ * have become the one that passes changes on.
+ */
+const RELAY_CHECK_MS = 500;
+/** Pause after a read of the store while changes are relayed, in milliseconds; by then most changes have been relayed. */
+const RELAY_READ_PAUSE_MS = 200;
+
 /** Result of a call to the store. */
 type FollowerStep = "changed" | "quiet" | "failed" | "history-lost" | "restored";
 
@@ -21,7 +38,10 @@
 export interface FollowedTable {
     /** Called with a snapshot of all rows; rows that aren't included don't exist. */
     replaced(rows: StoredRow[]): void;
-    changed(row: StoredRow): void;
+    /** Applies a changed row. Returns what distinguishes it from the known one, if that is smaller and known. */
+    changed(row: StoredRow): KeyChange | undefined;
+    /** Applies a relayed change of a row; `false` if it doesn't follow on from the known row. */
+    patched?(change: KeyChange): boolean;
     /**
      * Called instead of `replaced` with the first snapshot after the store was restored from a copy. A row may be that of the
      * copy, which is older than one that was read before, or may have been written since the restore.
@@ -36,7 +56,8 @@
 /**
  * Follows one table of the store: reads a snapshot, then its changes. Rows older than the known versions are ignored, so
  * the view doesn't go back in time. Versions count within one era of the store only. In a later era the whole table is read
- * again, whatever its versions are, and answers of earlier eras are ignored.
+ * again, whatever its versions are, and answers of earlier eras are ignored. While another instance relays the changes, the
+ * store is read only if some were missed.
  *
  * @example
  * const follower = new TableFollower({ store, table: "op", clock, logger, waitMs: 4000, pauseMs: () => 0, followed });
@@ -61,6 +82,10 @@
     private isRefreshRequested = false;
     private endPause: () => void = () => undefined;
     private heldCall = new AbortController();
+    /** Monotonic time in milliseconds until which the relayed state is recent enough. */
+    private relayedUntil = -Infinity;
+    /** Whether the store has to be read, because relayed changes were missed or a request needs the current state. */
+    private isReadNeeded = false;
 
     constructor(
         private readonly options: {
@@ -72,12 +97,23 @@
              * Time for which the store holds a call for changes, in milliseconds. It limits how long a dead connection goes
              * unnoticed.
              */
-            waitMs: number;
+            waitMs: () => number;
             /** Pause after changes, in milliseconds, so that changes in quick succession are read with one call. */
             pauseMs: () => number;
             /** The part of that pause that `refresh` doesn't end, in milliseconds; all of it by default. */
             minPauseMs?: number;
+            /** Whether another follower is failing and calls `retry` when the store answers it. */
+            isProbed?: () => boolean;
             followed: FollowedTable;
+            /** Relay of changes between instances; each change is read from the store without it. */
+            relay?: {
+                /** Age from which a relayed state is too old, in milliseconds. */
+                maxAgeMs: number;
+                /** Whether this instance is the one that passes changes on. */
+                isSource: () => boolean;
+                /** Takes what was read from the store. */
+                read: (step: TableStep) => void;
+            };
         },
     ) {
         this.lastAnswerAt = options.clock.monotonicMs();
@@ -105,13 +141,86 @@
 
     /** Whether the view is up to date with the store; `false` during the pause after changes. */
     get isFresh(): boolean {
-        return this.options.clock.monotonicMs() >= this.freshFrom;
+        return this.options.clock.monotonicMs() >= this.freshFrom || this.isRelayed();
     }
 
     /** Shortens the pause after changes, because the view has proved to be out of date. */
     refresh(): void {
         this.isRefreshRequested = true;
         this.endPause();
+        this.readInstead();
+    }
+
+    /** Calls the store again after a failure, because it answers another follower. */
+    retry(): void {
+        if (this.isFailing) {
+            this.wake();
+        }
+    }
+
+    /** Whether the content is known and the store answers. */
+    isCurrent(): boolean {
+        return this.hasSnapshot && !this.mustList && !this.isFailing;
+    }
+
+    /** Applies changes that another instance has read. */
+    relayed({ era, from, to, ageMs, rows }: RelayedChanges): void {
+        const { clock, followed, relay } = this.options;
+        if (this.disposed || this.mustList || relay === undefined || era < (this.era ?? era)) {
+            return;
+        }
+        if (era !== this.era || this.position < from) {
+            this.readInstead();
+            return;
+        }
+        for (const row of rows.filter(({ key, version }) => version > (this.versions.get(key) ?? 0))) {
+            if (!this.applyRelayed(row)) {
+                this.readInstead();
+                return;
+            }
+        }
+        this.position = Math.max(this.position, to);
+        const readAt = clock.monotonicMs() - ageMs;
+        this.relayedUntil = Math.max(this.relayedUntil, readAt + relay.maxAgeMs);
+        if (readAt > this.lastAnswerAt) {
+            const silentMs = this.silentMs();
+            this.lastAnswerAt = readAt;
+            if (this.isFailing) {
+                this.failures = 0;
+                followed.recovered(silentMs);
+            }
+        }
+    }
+
+    private applyRelayed({ key, version, value, change }: RelayedRow): boolean {
+        const { followed } = this.options;
+        if (change === undefined) {
+            const content = value === undefined ? undefined : Buffer.from(value, "base64");
+            followed.changed({ key, version, value: content });
+        } else if (followed.patched?.(change) !== true) {
+            return false;
+        }
+        this.versions.set(key, version);
+        return true;
+    }
+
+    /** Reads the store although the changes are relayed. */
+    private readInstead(): void {
+        if (this.isRelayed()) {
+            this.isReadNeeded = true;
+            this.wake();
+        }
+    }
+
+    /** Whether another instance relays the changes and none were missed. */
+    private isRelayed(): boolean {
+        const { clock, relay } = this.options;
+        return (
+            !this.isReadNeeded &&
+            !this.mustList &&
+            clock.monotonicMs() < this.relayedUntil &&
+            relay?.isSource() === false
+        );
     }
 
     /**
@@ -139,9 +248,16 @@
 
     private async run(): Promise<void> {
         while (!this.disposed) {
+            if (this.isRelayed()) {
+                await this.pause(Math.min(RELAY_CHECK_MS, this.relayedUntil - this.options.clock.monotonicMs()));
+                continue;
+            }
+            const wasReadNeeded = this.isReadNeeded;
             const step = this.mustList ? await this.list() : await this.follow();
             if (step === "failed") {
                 await this.pause(this.failurePauseMs());
+            } else if (wasReadNeeded) {
+                await this.pause(RELAY_READ_PAUSE_MS);
             } else if (step === "changed") {
                 await this.pauseAfterChanges();
             }
@@ -185,18 +301,21 @@
         this.mustList = false;
         this.isRestored = false;
         this.hasSnapshot = true;
+        this.isReadNeeded = false;
         if (isRestored) {
             followed.restored(fresh);
         } else {
             followed.replaced(fresh);
         }
+        this.options.relay?.read({ era, to: version, rows: undefined });
         return "changed";
     }
 
     private async follow(): Promise<FollowerStep> {
         const { store, table, followed, logger } = this.options;
         // While the store fails, calls without a wait detect its recovery earliest.
-        const waitMs = this.isFailing ? 0 : this.options.waitMs;
+        const waitMs = this.isFailing || this.isReadNeeded ? 0 : this.options.waitMs();
+        this.isReadNeeded = false;
         this.heldCall = new AbortController();
         const changes = await store.changes(table, this.position, waitMs, this.heldCall.signal);
         if (this.isRestored) {
@@ -219,13 +338,20 @@
             return "history-lost";
         }
         const { rows, version } = changes.value;
+        const applied: RelayedRow[] = [];
         for (const row of rows) {
             if (row.version > (this.versions.get(row.key) ?? 0)) {
-                this.versions.set(row.key, row.version);
-                followed.changed(row);
+                const { key, value } = row;
+                this.versions.set(key, row.version);
+                const change = followed.changed(row);
+                const content = change === undefined ? value?.toString("base64") : undefined;
+                applied.push({ key, version: row.version, value: content, change });
             }
         }
         this.position = Math.max(this.position, version);
+        const { relay } = this.options;
+        // Rows that were read before this instance passes changes on can't be passed on any more.
+        relay?.read({ era, to: this.position, rows: relay.isSource() ? applied : undefined });
         return rows.length > 0 ? "changed" : "quiet";
     }
 
@@ -283,7 +409,9 @@
     }
 
     private failurePauseMs(): number {
-        return Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.failures - 1, 10));
+        return this.options.isProbed?.() === true
+            ? PROBED_PAUSE_MS
+            : Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.failures - 1, 10));
     }
 
     private async pause(durationMs: number): Promise<void> {
