Wait for a moving key by the target latency of its service

Callers: a request for a key that changes its owner was refused after 250 ms, also where work takes 750 ms and the target latency is 3 s, so that a release takes longer than that.

--- a/src/process/gateway/__tests__/storeRelay.test.ts
+++ b/src/process/gateway/__tests__/storeRelay.test.ts
@@ -60,6 +60,7 @@
             isCutOff: false,
             relay: new StoreRelay({
                 clock,
+                logger: SILENT_LOGGER,
                 isSource: () => source === index && !instance.isFrozen,
                 source: () => (source === index ? undefined : addressOf(source)),
                 send: ({ port }, content) => {
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -359,6 +359,7 @@
             return FAILURE_PAUSE_MS;
         }
         logger.info("Another instance holds the lease for assigning keys.", { holder: lease?.instance });
+        this.holderAddress = lease?.peerAddress;
         this.heldUntil = -Infinity;
         this.checkLost();
         return WATCH_MS;
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
 import type { AnswerFacts, CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
@@ -177,6 +178,15 @@
         });
         this.owners = new KeyOwners({ clock, logger: loggers("ownership") });
         this.peers = new PeerPort({ address: options.peers, logger: loggers("peers") });
+        this.relay = new StoreRelay({
+            clock,
+            logger: loggers("platform"),
+            isSource: () => this.assigners.lease.isHeld(),
+            source: () => parsePeerAddress(this.assigners.lease.assignerAddress),
+            send: (address, content) => this.peers.send(address, content),
+            silent: () => this.assigners.lease.holderSilent(),
+        });
+        this.peers.handle(this.relay.receive);
         this.load = new SharedLoad({
             clock,
             targets: this.targets,
@@ -206,14 +216,6 @@
             unanswered: () => this.assigners.lease.lookAgain(),
         });
         this.peers.handle(this.leaving.receive);
-        this.relay = new StoreRelay({
-            clock,
-            isSource: () => this.assigners.lease.isHeld(),
-            source: () => parsePeerAddress(this.assigners.lease.assignerAddress),
-            send: (address, content) => this.peers.send(address, content),
-            silent: () => this.assigners.lease.holderSilent(),
-        });
-        this.peers.handle(this.relay.receive);
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
             keyMap: service => this.owners.of(service),
@@ -253,7 +255,7 @@
                 pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
                 replaced: rows => this.targets.listed(rows),
                 restored: rows => this.targets.restored(rows),
-                changed: row => this.targets.rowChanged(row),
+                changed: row => this.targetChanged(row),
             }),
             this.follow({
                 table: CRASH_TABLE,
@@ -631,7 +633,7 @@
         replaced: (rows: StoredRow[]) => void;
         /** Applies the first snapshot of a restored store; `replaced` by default. */
         restored?: (rows: StoredRow[]) => void;
-        changed: (row: StoredRow) => KeyChange | void;
+        changed: (row: StoredRow) => KeyChange | "same" | void;
         patched?: (change: KeyChange) => boolean;
     }): TableFollower {
         const { table, waitMs, sourceWaitMs, maxAgeMs, pauseMs, minPauseMs, replaced, restored = replaced } = options;
@@ -668,6 +670,22 @@
         return follower;
     }
 
+    /** Applies a target's entry. Returns `same` if only the state of its warm-up has changed. */
+    private targetChanged(row: StoredRow): "same" | undefined {
+        const { directory } = this.targets;
+        const earlier = directory.get(row.key)?.entry;
+        const wasMissing = directory.isMissing(row.key);
+        this.targets.rowChanged(row);
+        const later = directory.get(row.key)?.entry;
+        const isSame =
+            earlier !== undefined &&
+            later !== undefined &&
+            !wasMissing &&
+            row.value !== undefined &&
+            isDeepStrictEqual({ ...earlier, warmupLeftMs: 0 }, { ...later, warmupLeftMs: 0 });
+        return isSame ? "same" : undefined;
+    }
+
     /** Applies the row of an assignment. Returns the change, if it is to be passed on. */
     private ownersChanged(row: StoredRow): KeyChange | undefined {
         const earlier = this.owners.of(row.key)?.assignment;
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -449,14 +449,15 @@
 
     /** The ranges as they are when the moves under way have ended, so that these aren't planned again. */
     private rangesAfterMoves(): KeyRange[] {
-        return [...this.moving].reduce((ranges, { from, to, target }) => {
-            const receiver = this.receiverOf(target);
-            if (receiver === undefined) {
-                return ranges;
-            }
-            const { id, startedAtMs, address } = receiver.listed.entry;
-            return replaceRange(ranges, { from, to, target: id, startedAtMs, address, fence: this.assignment.fence });
-        }, this.assignment.ranges);
+        const { fence, ranges } = this.assignment;
+        const moved = [...this.moving].flatMap(({ from, to, target }): KeyRange[] => {
+            const entry = this.receiverOf(target)?.listed.entry;
+            return entry === undefined
+                ? []
+                : [{ from, to, target, startedAtMs: entry.startedAtMs, address: entry.address, fence }];
+        });
+        const kept = ranges.flatMap(range => withoutRanges(range, moved));
+        return [...kept, ...moved].sort((a, b) => a.from - b.from);
     }
 
     /** The usable target with this identifier. */
--- a/src/process/gateway/keyChange.ts
+++ b/src/process/gateway/keyChange.ts
@@ -1,42 +1,62 @@
 import { z } from "zod";
-import { keyRangeSchema, withoutRanges, type KeyAssignment, type KeyRange } from "./keyMap.js";
+import { keySchema, withoutRanges, type KeyAssignment, type KeyRange } from "./keyMap.js";
 
-/** What distinguishes an assignment from an earlier one. With many targets it is much smaller than the assignment. */
+/**
+ * The keys that have other owners than in an earlier assignment. With many targets this is much smaller than the assignment. It
+ * has what requests are placed by; the instance that assigns keys reads the whole assignment from the store.
+ */
 export const keyChangeSchema = z.object({
     service: z.string(),
     /** Fencing token of the earlier assignment, and of the new one. */
     before: z.number().int(),
     fence: z.number().int(),
-    /** Ranges that the earlier assignment doesn't have. */
-    ranges: z.array(keyRangeSchema),
+    /** First and last key, identifier of the owner ("" if there is none), and start time of its process. */
+    owners: z.array(z.tuple([keySchema, keySchema, z.string(), z.number().int()])),
 });
 export type KeyChange = z.infer<typeof keyChangeSchema>;
 
-const identityOf = ({ from, to, target, startedAtMs, address, fence, handover }: KeyRange): string =>
-    [from, to, target, startedAtMs, address, fence, handover].join(" ");
+const hasSameOwner = (first: KeyRange, second: KeyRange): boolean =>
+    first.target === second.target && first.startedAtMs === second.startedAtMs;
 
 /**
  * The change from one assignment to a later one.
  *
  * @example
- * applyChange(earlier, changeBetween(earlier, later)); // equals `later`
+ * applyChange(earlier, changeBetween(earlier, later)); // has the owners of `later`
  */
 export const changeBetween = (earlier: KeyAssignment, later: KeyAssignment): KeyChange => {
-    const known = new Set(earlier.ranges.map(identityOf));
-    return {
-        service: later.service,
-        before: earlier.fence,
-        fence: later.fence,
-        ranges: later.ranges.filter(range => !known.has(identityOf(range))),
-    };
+    const owners: KeyChange["owners"] = [];
+    let index = 0;
+    for (const range of later.ranges) {
+        for (let from = range.from; from <= range.to;) {
+            while (earlier.ranges[index].to < from) {
+                index++;
+            }
+            const known = earlier.ranges[index];
+            const to = Math.min(range.to, known.to);
+            const last = owners.at(-1);
+            if (hasSameOwner(range, known)) {
+                // Its keys keep their owner.
+            } else if (last?.[1] === from - 1 && last[2] === range.target && last[3] === range.startedAtMs) {
+                last[1] = to;
+            } else {
+                owners.push([from, to, range.target, range.startedAtMs]);
+            }
+            from = to + 1;
+        }
+    }
+    return { service: later.service, before: earlier.fence, fence: later.fence, owners };
 };
 
 /** Applies a change; `undefined` if it belongs to another assignment. */
 export const applyChange = (assignment: KeyAssignment, change: KeyChange): KeyAssignment | undefined => {
-    if (assignment.service !== change.service || assignment.fence !== change.before) {
+    const { service, before, fence, owners } = change;
+    if (assignment.service !== service || assignment.fence !== before) {
         return undefined;
     }
-    const kept = assignment.ranges.flatMap(range => withoutRanges(range, change.ranges));
-    const ranges = [...kept, ...change.ranges].sort((a, b) => a.from - b.from);
-    return { ...assignment, fence: change.fence, ranges };
+    const changed = owners.map(([from, to, target, startedAtMs]): KeyRange => {
+        return { from, to, target, startedAtMs, address: "", fence };
+    });
+    const kept = assignment.ranges.flatMap(range => withoutRanges(range, changed));
+    return { ...assignment, fence, ranges: [...kept, ...changed].sort((a, b) => a.from - b.from) };
 };
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -6,18 +6,16 @@
 /** Number of keys; a key is an integer from 0 to below this. */
 export const KEY_COUNT = 65_536;
 
+export const keySchema = z
+    .number()
+    .int()
+    .min(0)
+    .max(KEY_COUNT - 1);
+
 /** A range of keys, both ends included, with its owner. */
-export const keyRangeSchema = z.object({
-    from: z
-        .number()
-        .int()
-        .min(0)
-        .max(KEY_COUNT - 1),
-    to: z
-        .number()
-        .int()
-        .min(0)
-        .max(KEY_COUNT - 1),
+const keyRangeSchema = z.object({
+    from: keySchema,
+    to: keySchema,
     /** Identifier of the target, or "" if the keys have no owner. */
     target: z.string(),
     /** Start time of the owner's process in Unix milliseconds; a restarted target owns no keys. */
--- a/src/process/gateway/relayMessage.ts
+++ b/src/process/gateway/relayMessage.ts
@@ -1,14 +1,20 @@
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { Result } from "neverthrow";
 import { z } from "zod";
 import { parseJson } from "../runtime/parseJson.js";
 import { keyChangeSchema } from "./keyChange.js";
 
-/** Maximum size of a datagram's content in bytes, so that it isn't fragmented. */
-export const MAX_RELAY_BYTES = 1_200;
+/** Maximum size of a message in bytes before its compression, so that the datagram is hardly ever fragmented. */
+export const MAX_RELAY_BYTES = 3_000;
+/** Maximum size of a received message after its decompression, in bytes. */
+const MAX_INFLATED_BYTES = 65_536;
+/** First byte of a message that isn't compressed. */
+const TEXT_START = "{".charCodeAt(0);
 
 const relayedRowSchema = z.object({
     key: z.string(),
     version: z.number().int(),
-    /** Content in base64; missing if the row was deleted, or if a change of it is stated. */
+    /** Content, one character a byte; missing if the row was deleted, or if a change of it is stated. */
     value: z.string().optional(),
     change: keyChangeSchema.optional(),
 });
@@ -36,14 +42,23 @@
 /** A message about changes of the store. */
 export type RelayMessage = z.infer<typeof relayMessageSchema>;
 
+const inflate = Result.fromThrowable((content: Buffer) =>
+    inflateRawSync(content, { maxOutputLength: MAX_INFLATED_BYTES }).toString(),
+);
+
 /**
- * Encodes a message as one datagram.
+ * Encodes a message as one datagram. Changes are compressed, since the entries of targets are much alike.
  *
  * @example
  * encodeRelayMessage({ type: "relay-follow" }); // <Buffer ...>
  */
-export const encodeRelayMessage = (message: RelayMessage): Buffer => Buffer.from(JSON.stringify(message));
+export const encodeRelayMessage = (message: RelayMessage): Buffer => {
+    const text = Buffer.from(JSON.stringify(message));
+    return message.type === "relay" ? deflateRawSync(text) : text;
+};
 
 /** Decodes a message; `undefined` if the bytes aren't a valid one. */
-export const decodeRelayMessage = (content: Buffer): RelayMessage | undefined =>
-    relayMessageSchema.safeParse(parseJson(content.toString())).data;
+export const decodeRelayMessage = (content: Buffer): RelayMessage | undefined => {
+    const text = content[0] === TEXT_START ? content.toString() : inflate(content).unwrapOr("");
+    return relayMessageSchema.safeParse(parseJson(text)).data;
+};
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -1,6 +1,7 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import { repeat } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
+import type { Logger } from "../observability/logger.js";
 import type { DatagramHandler, PeerAddress } from "./peerPort.js";
 import {
     decodeRelayMessage,
@@ -42,7 +43,7 @@
  * itself: the relay saves calls and isn't needed for any decision.
  *
  * @example
- * const relay = new StoreRelay({ clock, isSource, source, send, silent });
+ * const relay = new StoreRelay({ clock, logger, isSource, source, send, silent });
  * relay.cover("servers", follower);
  * relay.start();
  */
@@ -59,6 +60,7 @@
     constructor(
         private readonly options: {
             clock: Clock;
+            logger: Logger;
             /** Whether this instance passes changes on. */
             isSource: () => boolean;
             /** Address of the instance that does; `undefined` while it is unknown or is this one. */
@@ -127,13 +129,16 @@
 
     /** Asks the source for changes, and notices when it is silent. */
     private follow(): void {
-        const { source, send, silent } = this.options;
+        const { logger, source, send, silent } = this.options;
         const address = source();
         if (address !== undefined) {
             send(address, encodeRelayMessage({ type: "relay-follow" }));
         }
         if (this.wasHeard && !this.isHeard) {
+            logger.warn("Changes of the store are no longer relayed; reading the store.", {});
             silent();
+        } else if (!this.wasHeard && this.isHeard) {
+            logger.info("Changes of the store are relayed.", { source: address && `${address.host}:${address.port}` });
         }
         this.wasHeard = this.isHeard;
     }
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -38,8 +38,11 @@
 export interface FollowedTable {
     /** Called with a snapshot of all rows; rows that aren't included don't exist. */
     replaced(rows: StoredRow[]): void;
-    /** Applies a changed row. Returns what distinguishes it from the known one, if that is smaller and known. */
-    changed(row: StoredRow): KeyChange | undefined;
+    /**
+     * Applies a changed row. Returns what distinguishes it from the known one, if that is smaller and known, or `same` if it
+     * says nothing new that other instances need.
+     */
+    changed(row: StoredRow): KeyChange | "same" | undefined;
     /** Applies a relayed change of a row; `false` if it doesn't follow on from the known row. */
     patched?(change: KeyChange): boolean;
     /**
@@ -195,7 +198,7 @@
     private applyRelayed({ key, version, value, change }: RelayedRow): boolean {
         const { followed } = this.options;
         if (change === undefined) {
-            const content = value === undefined ? undefined : Buffer.from(value, "base64");
+            const content = value === undefined ? undefined : Buffer.from(value, "latin1");
             followed.changed({ key, version, value: content });
         } else if (followed.patched?.(change) !== true) {
             return false;
@@ -256,10 +259,10 @@
             const step = this.mustList ? await this.list() : await this.follow();
             if (step === "failed") {
                 await this.pause(this.failurePauseMs());
-            } else if (wasReadNeeded) {
-                await this.pause(RELAY_READ_PAUSE_MS);
             } else if (step === "changed") {
                 await this.pauseAfterChanges();
+            } else if (wasReadNeeded) {
+                await this.pause(RELAY_READ_PAUSE_MS);
             }
         }
     }
@@ -344,8 +347,10 @@
                 const { key, value } = row;
                 this.versions.set(key, row.version);
                 const change = followed.changed(row);
-                const content = change === undefined ? value?.toString("base64") : undefined;
-                applied.push({ key, version: row.version, value: content, change });
+                if (change !== "same") {
+                    const content = change === undefined ? value?.toString("latin1") : undefined;
+                    applied.push({ key, version: row.version, value: content, change });
+                }
             }
         }
         this.position = Math.max(this.position, version);
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -146,6 +146,12 @@
         }
     }
 
+    /** Whether a target is in use although its entry is gone, since it may register again. */
+    isMissing(id: string): boolean {
+        const target = this.targets.get(id);
+        return target !== undefined && this.missing.has(target);
+    }
+
     /** Whether an entry is one of a copy that doesn't count yet. */
     isDoubted(entry: TargetEntry): boolean {
         return isDeepStrictEqual(this.doubted.get(entry.id), entry);
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -18,6 +18,7 @@
     type GatewayReply,
 } from "./gatewayCall.js";
 import type { HeldAnswer, HeldAnswers } from "./heldAnswers.js";
+import { maxOwnerWaitMs } from "./maxOwnerWaitMs.js";
 import { delayField, refuse, type Refusal } from "./refusal.js";
 import { refuseStopping } from "./refuseStopping.js";
 
@@ -32,8 +33,6 @@
 const NON_IDEMPOTENT_MAX_IDLE_MS = 3_000;
 /** Maximum idle time of a connection that is used for a request that can be repeated, in milliseconds. */
 const IDEMPOTENT_MAX_IDLE_MS = 8_000;
-/** Maximum total time for which a request waits for owners, in milliseconds. */
-const MAX_OWNER_WAIT_MS = 250;
 /** Share of a route's target latency that the service time is assumed to take. */
 const EXPECTED_SERVICE_SHARE = 0.25;
 /** Share of the time left after which an idempotent request without any answer is sent to another target. */
@@ -345,7 +344,7 @@
 
     private waitForOwner(maxWaitMs: number): void {
         const now = this.services.clock.monotonicMs();
-        this.ownerWaitEndsAt ??= now + MAX_OWNER_WAIT_MS;
+        this.ownerWaitEndsAt ??= now + maxOwnerWaitMs(this.route.targetLatencyMs);
         if (now >= this.ownerWaitEndsAt) {
             this.lastRefusal = refuse("no-owner", "The key is changing its owner.", 0.2 + 0.2 * Math.random());
             this.finishUnanswered();
