Relay changes of owners that apply whenever an instance has read the store

A change of owners could be applied only to the assignment from which it was made. An instance that had read the store itself knew one in between, so it read the store again at each change while keys were moved; with many moves the change was also too large for a datagram.

A change now lists the owners of all keys that were assigned since an earlier assignment, without what only the assigner needs, and applies to each assignment in between.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { createRetryBudget } from "./createRetryBudget.js";
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
+import { endWithProcess } from "./endWithProcess.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import { GatewayTargets } from "./gatewayTargets.js";
@@ -401,6 +402,12 @@
         this.dispose();
     }
 
+    /** Has the gateway shut down when the process is asked to stop, and `fail` after an error that no code handles. */
+    endWithProcess(): void {
+        const logger = this.options.loggers("daemon");
+        endWithProcess({ shutDown: () => this.shutDown(), fail: () => this.fail(), logger });
+    }
+
     /** Gives all requests their final answer at once, because the process can't go on, and ends when these are delivered. */
     async fail(): Promise<void> {
         const { clock } = this.options;
--- a/src/process/gateway/keyChange.ts
+++ b/src/process/gateway/keyChange.ts
@@ -2,8 +2,8 @@
 import { keySchema, withoutRanges, type KeyAssignment, type KeyRange } from "./keyMap.js";
 
 /**
- * The keys that have other owners than in an earlier assignment. With many targets this is much smaller than the assignment. It
- * has what requests are placed by; the instance that assigns keys reads the whole assignment from the store.
+ * The owners of all keys that were assigned since an earlier assignment. With many targets this is much smaller than the
+ * assignment. It has what requests are placed by; the instance that assigns keys reads the whole assignment from the store.
  */
 export const keyChangeSchema = z.object({
     service: z.string(),
@@ -15,8 +15,9 @@
 });
 export type KeyChange = z.infer<typeof keyChangeSchema>;
 
-const hasSameOwner = (first: KeyRange, second: KeyRange): boolean =>
-    first.target === second.target && first.startedAtMs === second.startedAtMs;
+/** Whether the keys of a range have had the same owner since an earlier assignment. */
+const hasKeptOwner = (range: KeyRange, known: KeyRange, before: number): boolean =>
+    range.fence <= before && range.target === known.target && range.startedAtMs === known.startedAtMs;
 
 /**
  * The change from one assignment to a later one.
@@ -35,8 +36,8 @@
             const known = earlier.ranges[index];
             const to = Math.min(range.to, known.to);
             const last = owners.at(-1);
-            if (hasSameOwner(range, known)) {
-                // Its keys keep their owner.
+            if (hasKeptOwner(range, known, earlier.fence)) {
+                // Not part of the change.
             } else if (last?.[1] === from - 1 && last[2] === range.target && last[3] === range.startedAtMs) {
                 last[1] = to;
             } else {
@@ -48,10 +49,13 @@
     return { service: later.service, before: earlier.fence, fence: later.fence, owners };
 };
 
-/** Applies a change; `undefined` if it belongs to another assignment. */
+/**
+ * Applies a change; `undefined` if it doesn't follow on from the assignment. That may also be one between the two of the change,
+ * as each instance reads the store at other times.
+ */
 export const applyChange = (assignment: KeyAssignment, change: KeyChange): KeyAssignment | undefined => {
     const { service, before, fence, owners } = change;
-    if (assignment.service !== service || assignment.fence !== before) {
+    if (assignment.service !== service || assignment.fence < before || assignment.fence >= fence) {
         return undefined;
     }
     const changed = owners.map(([from, to, target, startedAtMs]): KeyRange => {
