--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -4,7 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { configOf, Gateway, need, pause, requestId, runCase, Store, Upstream, waitFor } from "../support/kit.mjs";
 
-const FREEZES = 8;
+const FREEZES = 14;
 const FROZEN_MS = 2_500;
 const CLIENTS = 8;
 /** Longest time from the opening of a connection to the request (`header_timeout_ms` is 3,000). */
