--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,4 +1,5 @@
-// An entry of another writer names a service that no config names, at the address of an upstream that holds keys.
+// An entry of another writer has the address of an upstream that holds keys, and a service that no config names. With
+// ENTRY=no-version or ENTRY=no-seq its service is that of the upstream, and the named field is missing instead.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
@@ -18,6 +19,12 @@
 /** Longest time for which two upstreams may hold the same keys, in milliseconds. */
 const MAX_SHARED_MS = 500;
 const WATCHED_MS = 6_000;
+/** What makes the entry one of another writer. */
+const ODD = {
+    "other-service": entry => (entry.info.service = "another"),
+    "no-version": entry => delete entry.info.version,
+    "no-seq": entry => delete entry.status.seq,
+};
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ recording, folder, hasTrouble, keep }) => {
     const store = keep(new Store());
@@ -48,7 +55,7 @@
     const [victim] = [...upstreams].sort((a, b) => b.held() - a.held());
     if (hasTrouble) {
         const entry = { ...victim.entry(), born: Date.now() };
-        entry.info = { ...entry.info, service: "another" };
+        ODD[process.env.ENTRY ?? "other-service"](entry);
         recording.note(`another writer puts servers/odd: ${JSON.stringify(entry)}`);
         store.put("servers", "odd", entry);
     }
