--- a/src/process/gateway/__tests__/keyAssigner.test.ts
+++ b/src/process/gateway/__tests__/keyAssigner.test.ts
@@ -16,6 +16,7 @@
     entry: entryOf(id, startedAtMs),
     usable: true,
     gone: false,
+    claimed: false,
     seenAt: 0,
     intake: new TargetIntake(),
 });
@@ -52,6 +53,9 @@
                 target.intake.stateLeaving(clock);
                 target.usable = false;
             },
+            addressLost: target => {
+                targets = targets.filter(other => other !== target);
+            },
             holdMs: HOLD_MS,
         });
     const assignment = () => store.read(ASSIGNMENT_TABLE, "stock") as KeyAssignment;
@@ -167,20 +171,73 @@
         expect(ranges.some(({ target, startedAtMs }) => target === "t1" && startedAtMs === 1)).toBe(false);
     });
 
-    it("reassigns keys at once if their owner's address belongs to a target of another service", async () => {
+    /** A target that started after the owner `t1` and whose entry names its address. */
+    const claimant = (service: string): DirectoryTarget => {
+        const other = listed("other", 2);
+        other.entry = { ...other.entry, service, address: "t1:80" };
+        return other;
+    };
+
+    it("reassigns keys at once if another target answers at their owner's address", async () => {
         const fixture = await createFixture(["t1", "t2"]);
         void fixture.create().start();
         await advanceInSteps(fixture.clock, 5_000);
-        fixture.calls.silent.add("t1:80");
+        fixture.calls.occupants.set("t1:80", "other");
         fixture.calls.held.set("t1:80", []);
-        const successor = listed("other", 2);
-        successor.entry = { ...successor.entry, service: "orders", address: "t1:80" };
-        fixture.others.push(successor);
-        fixture.setTargets(fixture.targets().slice(1));
-        await advanceInSteps(fixture.clock, 1_500);
+        fixture.others.push(claimant("orders"));
+        // The entry of the former process has no time to expire.
+        await advanceInSteps(fixture.clock, 600);
         expect(fixture.owners()).toEqual(new Set(["t2"]));
     });
 
+    it.each([
+        ["of a service that no config names", "unnamed", "listed"],
+        ["of the owner's service", "stock", "listed"],
+        ["of a service that no config names, while the owner has no entry", "unnamed", "gone"],
+        ["of the owner's service, while the owner doesn't answer", "stock", "silent"],
+    ])("guards against a second owner because of an entry with the owner's address, %s", async (_, service, state) => {
+        const fixture = await createFixture(["t1", "t2", "t3"]);
+        void fixture.create().start();
+        await advanceInSteps(fixture.clock, 5_000);
+        const before = fixture.assignment();
+        // The process of `t1` runs all the while.
+        fixture.calls.occupants.set("t1:80", "t1");
+        if (state === "silent") {
+            fixture.calls.silent.add("t1:80");
+        }
+        if (state === "gone") {
+            fixture.setTargets(fixture.targets().slice(1));
+        }
+        if (service === "stock") {
+            fixture.setTargets([...fixture.targets(), claimant(service)]);
+        } else {
+            fixture.others.push(claimant(service));
+        }
+        // `afterEach` fails when two targets hold the same keys.
+        await advanceInSteps(fixture.clock, 6_000);
+        if (state === "listed") {
+            expect(fixture.assignment()).toEqual(before);
+        }
+        if (state === "silent") {
+            expect(fixture.owners()).toContain("t1");
+        }
+    });
+
+    it("doesn't ask an owner again and again whose address another entry names", async () => {
+        const fixture = await createFixture(["t1", "t2"]);
+        void fixture.create().start();
+        await advanceInSteps(fixture.clock, 5_000);
+        const renewals = () => fixture.calls.log.filter(line => line.startsWith("grant t1:80")).length;
+        const count = async () => {
+            const before = renewals();
+            await advanceInSteps(fixture.clock, 6_000);
+            return renewals() - before;
+        };
+        const usual = await count();
+        fixture.others.push(claimant("orders"));
+        expect(await count()).toBeLessThanOrEqual(usual + 1);
+    });
+
     it("renews the grants of a former assigner under the same fencing token", async () => {
         const fixture = await createFixture(["t1", "t2"]);
         const first = fixture.create();
--- a/src/process/gateway/__tests__/leavingExchange.test.ts
+++ b/src/process/gateway/__tests__/leavingExchange.test.ts
@@ -18,6 +18,7 @@
     entry: entryOf(id, startedAtMs),
     usable: true,
     gone: false,
+    claimed: false,
     seenAt: 0,
     intake: new TargetIntake(),
 });
--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
-import { TargetDirectory } from "../targetDirectory.js";
+import { TargetDirectory, type DirectoryTarget } from "../targetDirectory.js";
 import type { TargetEntry } from "../targetEntry.js";
 
 const entry = (id: string, change: Partial<TargetEntry> = {}): TargetEntry => ({
@@ -41,14 +41,32 @@
         expect(usable()).toEqual([]);
     });
 
-    it("ends a target whose address now belongs to another one, also of another service", () => {
+    it("ends a target at whose address another one has answered, also of another service", () => {
         const { directory, usable } = createDirectory();
         directory.put(entry("t1"));
+        const first = directory.get("t1") as DirectoryTarget;
         directory.put(entry("t2", { address: "t1:80", service: "orders", startedAtMs: 2 }));
+        directory.addressLost(first);
+        expect(first.gone).toBe(true);
         expect([usable("stock"), usable("orders")]).toEqual([[], ["t2"]]);
         // The old entry may be written once more before it expires.
         directory.put(entry("t1"));
         expect([usable("stock"), usable("orders")]).toEqual([[], ["t2"]]);
+        directory.put(entry("t1", { startedAtMs: 3 }));
+        expect([usable("stock"), usable("orders")]).toEqual([["t1"], ["t2"]]);
+    });
+
+    it.each([
+        ["of a service that no config names", { service: "unnamed" }],
+        ["of the same service", {}],
+        ["with an earlier start", { startedAtMs: 1 }],
+    ])("guards against an entry that ends the target whose address it names, %s", (_, change) => {
+        const { directory, usable } = createDirectory();
+        directory.put(entry("t1", { startedAtMs: 2 }));
+        directory.put(entry("odd", { address: "t1:80", startedAtMs: 3, ...change }));
+        expect(usable()).toContain("t1");
+        directory.entryGone("odd");
+        expect(usable()).toEqual(["t1"]);
     });
 
     it("treats a target that has restarted under the same identifier as a new one", () => {
@@ -224,6 +242,7 @@
         const { clock, directory, usable } = system;
         directory.put(entry("t1"));
         directory.put(entry("t2", { address: "t1:80", service: "orders", startedAtMs: 2 }));
+        directory.addressLost(directory.get("t1") as DirectoryTarget);
         restore(system, entry("t1"));
         expect([usable("stock"), usable("orders")]).toEqual([[], ["t2"]]);
         clock.advance(1_000);
--- a/src/process/gateway/chooseTarget.ts
+++ b/src/process/gateway/chooseTarget.ts
@@ -10,7 +10,7 @@
     /** Share of recent requests that the target failed or shed, from 0 to 1. */
     failureShare: number;
     sameDomain: boolean;
-    /** Whether recent calls went unanswered; a suspect target is used only if there is no other. */
+    /** Whether recent calls went unanswered or another target may have its address; it is used only if there is no other. */
     suspect: boolean;
 }
 
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -319,7 +319,7 @@
             retried: (service, cause) => this.retryMeter.retried(service, cause),
             targetHeaders: platform.targetHeaders,
             factsOf: platform.factsOf,
-            addressLost: target => this.assigners.targetEnded(target.listed),
+            addressLost: ({ listed }) => this.assigners.addressLost(listed),
             excessiveAnswer: (request, target, part, detail) => this.excessiveAnswer(request, target, part, detail),
             brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
             refusedConnection: target => this.suspects.targetEnded(target.id),
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -213,7 +213,7 @@
             queueLimit: this.profile.queueLimit(this.listed.entry.slots),
             failureShare: this.currentFailureShare(),
             sameDomain: this.sameDomain,
-            suspect: this.isSuspect(),
+            suspect: this.isSuspect() || this.listed.claimed,
         };
     }
 
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -63,6 +63,10 @@
     /** Renewals in progress; a release waits for them, since a late renewal would undo it. */
     renewing: Promise<unknown>;
     isRenewing: boolean;
+    /** The target that started later and whose entry names its address, if there is one. */
+    claimant: DirectoryTarget | undefined;
+    /** Whether it is being asked whether it still has its address. */
+    isAsked: boolean;
 }
 
 interface QueuedChange {
@@ -122,7 +126,7 @@
             };
             /** Registered targets of the service. */
             targets: () => DirectoryTarget[];
-            /** Targets of all services, since a target of another service may now have the address of an owner. */
+            /** Targets of all services, since a target of another service may claim the address of an owner. */
             allTargets: () => Iterable<DirectoryTarget>;
             /**
              * Relative capacity of a target by its slots and speed, and the ratio of its running and waiting requests to
@@ -133,6 +137,8 @@
             weights: () => ArrayLike<number>;
             /** Called when a target states in an answer that it leaves. */
             leavingStated: (target: DirectoryTarget) => void;
+            /** Called when another target has answered at a target's address. */
+            addressLost: (target: DirectoryTarget) => void;
             holdMs?: number;
         },
     ) {
@@ -350,21 +356,50 @@
         }
     }
 
-    /** Marks processes as ended whose target has restarted, or whose address a target that started later has. */
+    /** Marks processes as ended whose target has restarted, and has those asked whose address another target claims. */
     private endReplacedProcesses(): void {
         const byId = new Map<string, TargetEntry>();
-        const byAddress = new Map<string, TargetEntry>();
-        for (const { entry } of this.options.allTargets()) {
-            byId.set(entry.id, entry);
-            byAddress.set(entry.address, entry);
-        }
-        for (const { listed } of this.tracked.values()) {
-            const { id, address, startedAtMs } = listed.entry;
-            const later = [byId.get(id), byAddress.get(address)];
-            if (later.some(entry => entry !== undefined && entry.startedAtMs > startedAtMs)) {
-                this.targetEnded(listed);
+        const latestAt = new Map<string, DirectoryTarget>();
+        for (const target of this.options.allTargets()) {
+            const { id, address, startedAtMs } = target.entry;
+            byId.set(id, target.entry);
+            if (startedAtMs > (latestAt.get(address)?.entry.startedAtMs ?? -Infinity)) {
+                latestAt.set(address, target);
             }
         }
+        for (const tracked of this.tracked.values()) {
+            const { id, address, startedAtMs } = tracked.listed.entry;
+            if ((byId.get(id)?.startedAtMs ?? -Infinity) > startedAtMs) {
+                this.targetEnded(tracked.listed);
+                continue;
+            }
+            const latest = latestAt.get(address);
+            const claimant = latest !== undefined && latest.entry.startedAtMs > startedAtMs ? latest : undefined;
+            if (claimant !== undefined && claimant !== tracked.claimant && !tracked.ended) {
+                void this.ask(tracked, claimant);
+            }
+            tracked.claimant = claimant;
+        }
+    }
+
+    /**
+     * Renews the grants of an owner whose address the entry of another target names. Only an answer from there shows which of
+     * them has the address: a renewal is taken by the owner and rejected by any other target.
+     */
+    private async ask(owner: TrackedTarget, claimant: DirectoryTarget): Promise<void> {
+        owner.isAsked = true;
+        await owner.renewing;
+        const answers = await this.renew(owner);
+        owner.isAsked = false;
+        if (answers.includes(true)) {
+            this.addressLost(claimant);
+        }
+    }
+
+    /** Records that another target has answered at the address of this one. */
+    private addressLost(listed: DirectoryTarget): void {
+        this.targetEnded(listed);
+        this.options.addressLost(listed);
     }
 
     private track(identity: string, listed: DirectoryTarget, now: number): TrackedTarget {
@@ -388,6 +423,8 @@
             ended: false,
             renewing: Promise.resolve(),
             isRenewing: false,
+            claimant: undefined,
+            isAsked: false,
         };
         this.tracked.set(identity, tracked);
         return tracked;
@@ -402,7 +439,14 @@
             }
             const { service } = this.options;
             const entry = { id, service, address, domain: "", slots: 1, draining: true, warmupLeftMs: 0, startedAtMs };
-            const listed = { entry, usable: false, gone: true, seenAt: now, intake: new TargetIntake() };
+            const listed = {
+                entry,
+                usable: false,
+                gone: true,
+                claimed: false,
+                seenAt: now,
+                intake: new TargetIntake(),
+            };
             this.track(identity, listed, now).goneAt = now;
         }
     }
@@ -491,11 +535,16 @@
             id: entry.id,
             startedAtMs: entry.startedAtMs,
             ...this.options.measure(tracked.listed),
-            canReceive: (isListed && usable && isReached) || waitsForReturn,
+            canReceive: (isListed && usable && isReached && !this.isClaiming(tracked)) || waitsForReturn,
             canRelease: usable && now - tracked.grants.answeredAt() < 2 * RENEWAL_MS,
         };
     }
 
+    /** Whether an owner is being asked whether it still has the address of this target. */
+    private isClaiming({ listed }: TrackedTarget): boolean {
+        return [...this.tracked.values()].some(({ isAsked, claimant }) => isAsked && claimant === listed);
+    }
+
     /**
      * Whether a target may be asked to release keys. Without an entry it is asked only while it answers; a target behind a
      * network partition may register again once the partition heals.
@@ -794,7 +843,7 @@
                 target.late.add(range, now);
                 return false;
             case "other-target":
-                this.targetEnded(target.listed);
+                this.addressLost(target.listed);
                 return false;
             case "refused":
                 return false;
@@ -827,15 +876,22 @@
             if (tracked.ended || !isRenewable || tracked.isRenewing) {
                 continue;
             }
-            const moving = [...this.moving];
-            const ranges = (owners.get(tracked) ?? []).flatMap(range => withoutRanges(range, moving));
-            tracked.isRenewing = true;
-            tracked.renewing = Promise.all(ranges.map(range => this.grant(tracked, range))).finally(() => {
-                tracked.isRenewing = false;
-            });
+            void this.renew(tracked, owners.get(tracked));
         }
     }
 
+    /** Renews the grants of an owner, except for keys that are being moved. Resolves to whether each one was taken. */
+    private renew(tracked: TrackedTarget, owned = this.owners().get(tracked)): Promise<boolean[]> {
+        const moving = [...this.moving];
+        const ranges = (owned ?? []).flatMap(range => withoutRanges(range, moving));
+        tracked.isRenewing = true;
+        const renewing = Promise.all(ranges.map(range => this.grant(tracked, range))).finally(() => {
+            tracked.isRenewing = false;
+        });
+        tracked.renewing = renewing;
+        return renewing;
+    }
+
     /** Whether no target can be reached, so that owners are granted their keys again after their grants have expired. */
     private isStranded(owners: ReadonlyMap<TrackedTarget, unknown>, now: number): boolean {
         return ![...this.tracked.values()].some(
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -88,9 +88,10 @@
         }
     }
 
-    /** Records that another target now has the address of this one. */
-    targetEnded(listed: DirectoryTarget): void {
+    /** Records that another target has answered at the address of this one. */
+    addressLost(listed: DirectoryTarget): void {
         this.assigners.get(listed.entry.service)?.targetEnded(listed);
+        this.options.targets.directory.addressLost(listed);
     }
 
     /** Releases the lease once all calls made under it have ended. */
@@ -119,6 +120,7 @@
             measure: listed => targets.view(listed).measure(admitter.limitOf(listed.entry)),
             weights: () => load.weights(service),
             leavingStated,
+            addressLost: listed => this.addressLost(listed),
             holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
         });
     }
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -22,8 +22,10 @@
     entry: TargetEntry;
     /** Whether new requests and keys may be sent to it. */
     usable: boolean;
-    /** Whether its entry was removed or another process has its address; it may still run for a while. */
+    /** Whether its entry was removed or another process answered at its address; it may still run for a while. */
     gone: boolean;
+    /** Whether the entry of a target that started later names its address, which it may therefore have lost. */
+    claimed: boolean;
     /** Monotonic time in milliseconds at which its entry was first seen. */
     seenAt: number;
     /** What its answers have stated; kept for its start, also while it has no entry. */
@@ -35,6 +37,8 @@
     startedAtMs: number;
     draining: boolean;
     intake: TargetIntake;
+    /** Whether another target has answered at its address, so that its process can't return. */
+    hasLostAddress: boolean;
 }
 
 /**
@@ -47,7 +51,7 @@
 
 /**
  * The registered targets by their identifiers. A target that was draining in one start, or has stated that it leaves, stays so
- * for that start.
+ * for that start. Entries may have the same address; only an answer from there shows which of their targets has it.
  *
  * The store may be restored from a copy, whose entries are older than what was read before. An entry of the copy doesn't bring
  * back a target that has departed, nor an earlier start of a target; one that is written or still there after the restore
@@ -112,6 +116,13 @@
         return true;
     }
 
+    /** Ends a target at whose address another one has answered. Only another start of it counts again. */
+    addressLost(target: DirectoryTarget): void {
+        if (!target.gone) {
+            this.end(target, "another target has answered at its address", true);
+        }
+    }
+
     /** Sets whether calls to the store fail; targets whose entries expire during an outage aren't removed at once. */
     setOutage(outage: boolean): void {
         if (this.outage && !outage) {
@@ -176,6 +187,9 @@
         this.doubted.delete(written.id);
         const entry = { ...written, draining: written.draining || this.wasDraining(written) };
         const departed = this.departed.get(entry.id);
+        if (departed?.startedAtMs === entry.startedAtMs && departed.hasLostAddress) {
+            return;
+        }
         this.departed.delete(entry.id);
         const known = this.targets.get(entry.id);
         if (known !== undefined && known.entry.startedAtMs !== entry.startedAtMs) {
@@ -186,7 +200,8 @@
         const wasUsable = target.usable;
         target.entry = entry;
         target.usable = isAccepting(target) && target.intake.leavingAt === undefined;
-        this.endOthersAtAddress(target);
+        this.missing.delete(target);
+        this.updateClaims(target);
         if (known === undefined || wasUsable !== target.usable) {
             const { id, service, draining, address, domain } = entry;
             this.options.logger.info(`Target ${id} is ${target.usable ? "usable" : "not usable"}.`, {
@@ -256,26 +271,22 @@
 
     private add(entry: TargetEntry, intake: TargetIntake): DirectoryTarget {
         const seenAt = this.options.clock.monotonicMs();
-        const target: DirectoryTarget = { entry, usable: false, gone: false, seenAt, intake };
+        const target: DirectoryTarget = { entry, usable: false, gone: false, claimed: false, seenAt, intake };
         this.targets.set(entry.id, target);
         const siblings = this.byService.get(entry.service) ?? new Set();
         this.byService.set(entry.service, siblings.add(target));
         return target;
     }
 
-    /** Ends the older of two targets with the same address, whatever its entry says. */
-    private endOthersAtAddress(target: DirectoryTarget): void {
-        this.missing.delete(target);
-        for (const other of this.targets.values()) {
-            if (other !== target && other.entry.address === target.entry.address) {
-                const newer = other.entry.startedAtMs > target.entry.startedAtMs ? other : target;
-                this.end(newer === target ? other : target, "its address has another target");
-                return;
-            }
-        }
+    /** Updates which of the targets with the address of a changed one are claimed. */
+    private updateClaims(changed: DirectoryTarget): void {
+        const { address } = changed.entry;
+        const sharing = [...this.targets.values()].filter(({ entry }) => entry.address === address);
+        const latest = Math.max(...sharing.map(({ entry }) => entry.startedAtMs));
+        sharing.forEach(target => (target.claimed = target.entry.startedAtMs < latest));
     }
 
-    private end(target: DirectoryTarget, cause: string): void {
+    private end(target: DirectoryTarget, cause: string, hasLostAddress = false): void {
         const { id, service, address } = target.entry;
         target.usable = false;
         target.gone = true;
@@ -283,14 +294,16 @@
             this.targets.delete(id);
         }
         this.byService.get(service)?.delete(target);
-        this.recordDeparture(target);
+        this.updateClaims(target);
+        this.recordDeparture(target, hasLostAddress);
         this.options.logger.info(`Target ${id} has left.`, { service, address, cause });
         this.options.onChange(target);
     }
 
-    private recordDeparture({ entry: { id, startedAtMs, draining }, intake }: DirectoryTarget): void {
+    private recordDeparture({ entry, intake }: DirectoryTarget, hasLostAddress: boolean): void {
+        const { id, startedAtMs, draining } = entry;
         this.departed.delete(id);
-        this.departed.set(id, { startedAtMs, draining, intake });
+        this.departed.set(id, { startedAtMs, draining, intake, hasLostAddress });
         const [oldest] = this.departed.keys();
         if (this.departed.size > MAX_DEPARTED) {
             this.departed.delete(oldest);
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -98,7 +98,7 @@
     /** Headers for a target: those of the caller and those required by the target's protocol. */
     targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
     factsOf(status: number, headers: Header[]): AnswerFacts;
-    /** Called when the address of a target belongs to another target. */
+    /** Called when another target has answered at a target's address. */
     addressLost(target: GatewayTarget): void;
     /** Called when a connection broke while a target may have run the request. */
     brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
@@ -558,7 +558,7 @@
     /** Handles a complete answer. */
     private completed(attempt: Attempt, head: AnswerHead, facts: AnswerFacts, chunks: Buffer[]): void {
         const { target } = attempt;
-        if (facts.answeredBy !== undefined && facts.answeredBy !== target.id) {
+        if (facts.notRun && facts.answeredBy !== undefined && facts.answeredBy !== target.id) {
             this.services.addressLost(target);
         }
         attempt.record.end = `status ${head.status}`;
--- a/test/failure/endlessAnswers.test.ts
+++ b/test/failure/endlessAnswers.test.ts
@@ -127,7 +127,7 @@
         harness.store.put("servers", "t0", {
             address: endless.address,
             born: 1_700_000_000_000,
-            info: { service: "endless", zone: "linz", slots: 6 },
+            info: { service: "endless", version: "v1", zone: "linz", slots: 6 },
             status: { state: "ready", seq: 1, warmup_left_ms: 0 },
         });
         current = CASES[0];
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -52,7 +52,7 @@
 export const standInEntry = (target: ScriptedTarget, change: { state?: string; service?: string } = {}): unknown => ({
     address: target.address,
     born: 1_700_000_000_000,
-    info: { service: change.service ?? "stock", zone: "linz", slots: 6 },
+    info: { service: change.service ?? "stock", version: "v1", zone: "linz", slots: 6 },
     status: { state: change.state ?? "ready", seq: 1, warmup_left_ms: 0 },
 });
 
--- a/test/support/grantedTargets.ts
+++ b/test/support/grantedTargets.ts
@@ -19,16 +19,21 @@
     readonly silent = new Set<string>();
     /** Addresses of targets that state in their answers that they leave. */
     readonly leaving = new Set<string>();
+    /** Identifiers of the targets that listen at addresses, where these aren't the called ones. */
+    readonly occupants = new Map<string, string>();
     readonly log: string[] = [];
     /** Keys that two targets held at the same time, and tokens that weren't above those of other targets. */
     readonly violations: string[] = [];
 
     constructor(private readonly clock: ManualClock) {}
 
-    grant({ address }: CalledTarget, grant: GrantedKeys & { holdMs: number }): Promise<GrantReply> {
+    grant({ id, address }: CalledTarget, grant: GrantedKeys & { holdMs: number }): Promise<GrantReply> {
         if (this.silent.has(address)) {
             return Promise.resolve({ type: "unanswered", detail: "silent" });
         }
+        if (this.isOccupied(address, id)) {
+            return Promise.resolve({ type: "other-target" });
+        }
         if (this.grantDelayMs > 0) {
             const arrivedAt = this.clock.monotonicMs();
             this.clock.setTimer(this.grantDelayMs, () => this.apply(address, grant, arrivedAt));
@@ -83,10 +88,17 @@
         }
     }
 
-    release({ address }: CalledTarget, keys: GrantedKeys): Promise<ReleaseReply> {
+    private isOccupied(address: string, id: string): boolean {
+        return (this.occupants.get(address) ?? id) !== id;
+    }
+
+    release({ id, address }: CalledTarget, keys: GrantedKeys): Promise<ReleaseReply> {
         if (this.silent.has(address)) {
             return Promise.resolve({ type: "unanswered", detail: "silent" });
         }
+        if (this.isOccupied(address, id)) {
+            return Promise.resolve({ type: "other-target" });
+        }
         this.log.push(`release ${address} ${keys.from} ${keys.to}`);
         this.held.set(address, this.without(address, keys));
         return Promise.resolve({ type: "released", handover: `state-${address}`, leaving: this.leaving.has(address) });
