--- a/src/connection/__tests__/callerServer.test.ts
+++ b/src/connection/__tests__/callerServer.test.ts
@@ -59,6 +59,29 @@
         held.forEach(socket => socket.destroy());
     });
 
+    test.each([
+        ["a head", "POST /orders/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n", "\r\norder"],
+        ["a body", "POST /orders/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nor", "der"],
+    ])("guards against a request that runs after it was answered 408 within %s", async (_, first, rest) => {
+        server.headersTimeout = 300;
+        server.requestTimeout = 400;
+        const urls: string[] = [];
+        answer = ({ url }, response) => {
+            urls.push(url);
+            response.head(200, []);
+            response.end(true);
+        };
+        const [host, port] = address.split(":");
+        const socket = connect({ port: Number(port), host, allowHalfOpen: true });
+        const received = new Promise<string>(resolve => socket.once("data", data => resolve(String(data))));
+        socket.write(first);
+        expect(await received).toContain("HTTP/1.1 408");
+        socket.write(rest);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        expect(urls).toEqual([]);
+        socket.destroy();
+    });
+
     test("guards against a path with dot segments that is assigned to the wrong service", async () => {
         const urls: string[] = [];
         answer = ({ url }, response) => {
--- a/src/connection/callerServer.ts
+++ b/src/connection/callerServer.ts
@@ -6,6 +6,7 @@
 import { outcomeOfRefusal, refuse, type Refusal } from "../request/refusal.js";
 import type { Header } from "./peerProtocol.js";
 import { endWithProblem, handleClientErrors, writeProblem } from "./problemAnswer.js";
+import { RequestGate } from "./requestGate.js";
 
 /** Time in which the headers of a request must arrive, counted from its first byte, in milliseconds. */
 export const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
@@ -88,13 +89,14 @@
 const createResponse = (
     response: ServerResponse,
     isServing: () => boolean,
+    closeAfterAnswer: () => void,
     flushed: (bytes: number) => void,
 ): CallerResponse => {
     let unflushed = 0;
     /** Tells the caller of a leaving instance not to reuse the connection, since it is about to be closed. */
     const closeWhenLeaving = () => {
         if (!isServing()) {
-            response.setHeader("connection", "close");
+            closeAfterAnswer();
         }
     };
     const sink: CallerResponse = {
@@ -168,19 +170,28 @@
     /** Maximum number of open connections; further ones are closed at once. */
     connectionLimit: number;
 }): CallerServer => {
+    const gate = new RequestGate();
     const handle = async (request: IncomingMessage, url: string, response: ServerResponse): Promise<void> => {
+        const closeAfterAnswer = () => {
+            response.setHeader("connection", "close");
+            gate.close(request.socket);
+        };
         const body = await readBody(request, options.bodyLimit);
         if (body === undefined) {
             options.refusedEarly(refuse("truncated-body", "The connection broke within the body."));
             response.destroy();
             return;
         }
+        if (request.socket.writableEnded) {
+            // A refusal has ended the connection while the body arrived.
+            return;
+        }
         let control = NO_ANSWER;
-        const sink = createResponse(response, options.isServing, bytes => control.credit(bytes));
+        const sink = createResponse(response, options.isServing, closeAfterAnswer, bytes => control.credit(bytes));
         if (!Buffer.isBuffer(body)) {
             options.refusedEarly(body);
             // The rest of the body isn't read, so the connection can't be reused.
-            response.setHeader("connection", "close");
+            closeAfterAnswer();
             sink.refused(body);
             return;
         }
@@ -227,7 +238,14 @@
             keepAliveTimeout: 65_000,
         },
         (request, response) => {
+            if (!gate.admits(request)) {
+                return;
+            }
             const { socket } = request;
+            if (!response.shouldKeepAlive) {
+                // Node.js closes the connection after this answer.
+                gate.close(socket);
+            }
             const responses = openResponses.get(socket) ?? new Set();
             bytesReadAtIdle.delete(socket);
             openResponses.set(socket, responses.add(response));
@@ -244,15 +262,15 @@
         },
     );
     server.maxConnections = options.connectionLimit;
-    handleClientErrors(
-        server,
-        socket => openResponses.get(socket) ?? [],
-        (socket, error) => {
+    handleClientErrors(server, {
+        gate,
+        responses: socket => openResponses.get(socket) ?? [],
+        refuse: (socket, error) => {
             const refusal = refusalOfClientError(error, options.headerLimit);
             options.refusedEarly(refusal);
             endWithProblem(socket, refusal, outcomeHeader(refusal));
         },
-    );
+    });
     server.on("connection", socket => socket.once("close", () => bytesReadAtIdle.delete(socket)));
     return Object.assign(server, {
         // The `close` and `closeIdleConnections` methods of Node.js also destroy connections whose answers have ended
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -13,6 +13,7 @@
 import { afterInput } from "../process/runtime/afterInput.js";
 import { AnswerTurn } from "./answerTurn.js";
 import { endWithProblem, handleClientErrors, writeProblem } from "./problemAnswer.js";
+import { RequestGate } from "./requestGate.js";
 
 /** Limits that apply until a config is known. */
 export const DEFAULT_CLIENT_LIMITS: ClientLimits = {
@@ -154,6 +155,7 @@
     let draining = false;
     let bufferedBytes = 0;
     const connections = new Map<Socket, CallerConnection>();
+    const gate = new RequestGate();
 
     const connectionOf = (socket: Socket): CallerConnection => {
         const known = connections.get(socket);
@@ -206,10 +208,14 @@
         request: IncomingMessage,
         { response, turn }: Exchange,
     ): GatewayReply => {
+        const closeAfterAnswer = () => {
+            response.setHeader("connection", "close");
+            gate.close(request.socket);
+        };
         /** Closes the connection after this answer if no other request is pending on it. */
         const closeWhenDraining = () => {
             if (draining && connection.exchanges.size === 1) {
-                response.setHeader("connection", "close");
+                closeAfterAnswer();
             }
         };
         const writeHead = (head: AnswerHead, length: number | undefined) => {
@@ -237,7 +243,7 @@
                     } else {
                         response.useChunkedEncodingByDefault = false;
                         writeHead(head, undefined);
-                        response.setHeader("connection", "close");
+                        closeAfterAnswer();
                     }
                     response.end(body.length === 1 ? body[0] : Buffer.concat(body));
                 }),
@@ -272,6 +278,13 @@
 
     /** Calls the handler when the whole body has been received. */
     const receive = (request: IncomingMessage, response: ServerResponse) => {
+        if (!gate.admits(request)) {
+            return;
+        }
+        if (!response.shouldKeepAlive) {
+            // Node.js closes the connection after this answer.
+            gate.close(request.socket);
+        }
         const arrivedAt = options.monotonicMs();
         const connection = connectionOf(request.socket);
         let isReceiving = true;
@@ -301,6 +314,7 @@
         const refuseUnread = (refusal: Refusal) => {
             // The rest of the body isn't read, so the connection can't be reused.
             response.setHeader("connection", "close");
+            gate.close(request.socket);
             reply.refuse(refusal);
         };
         const start = () => {
@@ -360,7 +374,8 @@
             }
         });
         request.once("end", () => {
-            if (!isRefused && isReceiving) {
+            // A refusal may have ended the connection while the body arrived.
+            if (!isRefused && isReceiving && !request.socket.writableEnded) {
                 start();
             }
         });
@@ -381,11 +396,11 @@
     );
     server.maxConnections = options.connectionLimit ?? DEFAULT_CONNECTION_LIMIT;
     server.on("connection", (socket: Socket) => void connectionOf(socket));
-    handleClientErrors(
-        server,
-        socket => [...(connections.get(socket)?.exchanges ?? [])].map(({ response }) => response),
-        (socket, error) => endWithProblem(socket, refusalOfClientError(error)),
-    );
+    handleClientErrors(server, {
+        gate,
+        responses: socket => [...(connections.get(socket)?.exchanges ?? [])].map(({ response }) => response),
+        refuse: (socket, error) => endWithProblem(socket, refusalOfClientError(error)),
+    });
 
     return {
         listen: (port, host) =>
--- a/src/connection/problemAnswer.ts
+++ b/src/connection/problemAnswer.ts
@@ -1,6 +1,8 @@
 import { STATUS_CODES, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { afterInput } from "../process/runtime/afterInput.js";
 import { delayField, problemOfRefusal, type Refusal } from "../request/refusal.js";
+import type { RequestGate } from "./requestGate.js";
 
 const MEDIA_TYPE = "application/problem+json";
 
@@ -37,26 +39,35 @@
 };
 
 /**
- * Handles requests that the HTTP parser rejects or that time out.
+ * Handles requests that the HTTP parser rejects or that time out. A request that had arrived by the timeout is read first, since
+ * Node.js runs overdue timers before it reads from sockets.
  *
- * @param responses unfinished responses of a socket
- * @param refuse answers the invalid request and closes the socket
+ * @param options.responses unfinished responses of a socket
+ * @param options.refuse answers the invalid request and closes the socket, on which the gate then admits nothing
  *
  * @example
- * handleClientErrors(server, responsesOf, (socket, error) => endWithProblem(socket, refusalOf(error)));
+ * const refuse = (socket: Socket, error: Error) => endWithProblem(socket, refusalOf(error));
+ * handleClientErrors(server, { gate, responses: responsesOf, refuse });
  */
 export const handleClientErrors = (
     server: Server,
-    responses: (socket: Socket) => Iterable<ServerResponse>,
-    refuse: (socket: Socket, error: NodeJS.ErrnoException) => void,
+    {
+        gate,
+        responses,
+        refuse,
+    }: {
+        gate: RequestGate;
+        responses: (socket: Socket) => Iterable<ServerResponse>;
+        refuse: (socket: Socket, error: NodeJS.ErrnoException) => void;
+    },
 ): void => {
-    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-        if (!socket.writable || error.code === "ECONNRESET") {
-            socket.destroy();
+    const refuseLast = (socket: Socket, error: NodeJS.ErrnoException) => {
+        if (gate.isClosed(socket) || !socket.writable) {
             return;
         }
         const complete = [...responses(socket)].filter(({ req }) => req.complete);
         if (complete.length === 0) {
+            gate.close(socket);
             refuse(socket, error);
             return;
         }
@@ -64,9 +75,31 @@
         socket.pause();
         const refuseWhenAnswered = () => {
             if (complete.every(({ closed }) => closed) && socket.writable) {
+                gate.close(socket);
                 refuse(socket, error);
             }
         };
         complete.forEach(response => response.once("close", refuseWhenAnswered));
+    };
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+        if (!socket.writable || error.code === "ECONNRESET") {
+            socket.destroy();
+            return;
+        }
+        if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT") {
+            refuseLast(socket, error);
+            return;
+        }
+        const admitted = gate.admittedOn(socket);
+        const incomplete = [...responses(socket)].filter(({ req }) => !req.complete);
+        afterInput(() => {
+            const hasArrived =
+                incomplete.length === 0
+                    ? gate.admittedOn(socket) > admitted
+                    : incomplete.every(({ req }) => req.complete);
+            if (!hasArrived) {
+                refuseLast(socket, error);
+            }
+        });
     });
 };
