--- a/src/connection/__tests__/callerServer.test.ts
+++ b/src/connection/__tests__/callerServer.test.ts
@@ -2,6 +2,7 @@
 import { ServerResponse, type Server } from "node:http";
 import { connect, type Socket } from "node:net";
 import { listenOnLoopback } from "../../../test/support/httpSupport.js";
+import { waitFor } from "../../../test/support/waitFor.js";
 import { createCallerServer, type CallerResponse, type ReceivedRequest } from "../callerServer.js";
 
 const exchange = (address: string, text: string): Promise<string> =>
@@ -18,15 +19,17 @@
 describe("caller server", () => {
     let server: Server;
     let address: string;
+    let isServing: boolean;
     let answer: (request: ReceivedRequest, response: CallerResponse) => void;
 
     beforeEach(async () => {
+        isServing = true;
         server = createCallerServer({
             answer: (request, response) => {
                 answer(request, response);
                 return { cancel: () => undefined, credit: () => undefined };
             },
-            isServing: () => true,
+            isServing: () => isServing,
             refusedEarly: () => undefined,
             bodyLimit: 1024,
             headerLimit: 4096,
@@ -82,6 +85,24 @@
         socket.destroy();
     });
 
+    test("guards against a leaving instance that closes a connection before its pipelined requests are answered", async () => {
+        isServing = false;
+        const pending: CallerResponse[] = [];
+        answer = (_, response) => pending.push(response);
+        const received = exchange(
+            address,
+            ["1", "2"].map(order => `GET /orders/${order} HTTP/1.1\r\nhost: a\r\n\r\n`).join(""),
+        );
+        await waitFor(() => pending.length === 2);
+        for (const response of pending) {
+            response.head(200, [{ name: "content-length", value: "2" }]);
+            response.data(Buffer.from("ok"));
+            response.end(true);
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+        expect((await received).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
+    });
+
     test("guards against a path with dot segments that is assigned to the wrong service", async () => {
         const urls: string[] = [];
         answer = ({ url }, response) => {
--- a/src/connection/callerServer.ts
+++ b/src/connection/callerServer.ts
@@ -5,7 +5,8 @@
 import { OUTCOME_HEADER } from "../request/outcome.js";
 import { outcomeOfRefusal, refuse, type Refusal } from "../request/refusal.js";
 import type { Header } from "./peerProtocol.js";
-import { endWithProblem, handleClientErrors, writeProblem } from "./problemAnswer.js";
+import { ConnectionCloser } from "./connectionCloser.js";
+import { handleClientErrors, writeLastProblem, writeProblem } from "./problemAnswer.js";
 import { RequestGate } from "./requestGate.js";
 
 /** Time in which the headers of a request must arrive, counted from its first byte, in milliseconds. */
@@ -86,16 +87,26 @@
     return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
 };
 
+/** What an answer depends on besides its request. */
+interface ConnectionState {
+    isServing: () => boolean;
+    /** Whether no other request is pending on the connection. */
+    isLast: () => boolean;
+    /** Closes the connection after this answer. */
+    closeAfterAnswer: () => void;
+    /** Ends the connection within this answer. */
+    cut: () => void;
+}
+
 const createResponse = (
     response: ServerResponse,
-    isServing: () => boolean,
-    closeAfterAnswer: () => void,
+    { isServing, isLast, closeAfterAnswer, cut }: ConnectionState,
     flushed: (bytes: number) => void,
 ): CallerResponse => {
     let unflushed = 0;
-    /** Tells the caller of a leaving instance not to reuse the connection, since it is about to be closed. */
+    /** Tells the caller of a leaving instance not to reuse the connection, unless further requests are pending on it. */
     const closeWhenLeaving = () => {
-        if (!isServing()) {
+        if (!isServing() && isLast()) {
             closeAfterAnswer();
         }
     };
@@ -121,7 +132,7 @@
             if (whole) {
                 response.end();
             } else {
-                response.destroy();
+                cut();
             }
         },
         refused: refusal => {
@@ -149,6 +160,8 @@
     closeIdle(): void;
     /** Number of requests whose answers haven't been handed to the operating system completely. */
     unfinished(): number;
+    /** Number of closed connections whose callers may not have received their last answers. */
+    closing(): number;
 };
 
 /**
@@ -170,7 +183,12 @@
     /** Maximum number of open connections; further ones are closed at once. */
     connectionLimit: number;
 }): CallerServer => {
+    /** Unfinished responses by socket; a caller may send its next request before the previous one is answered. */
+    const openResponses = new Map<Socket, Set<ServerResponse>>();
+    /** Idle connections, with the bytes received and the time in milliseconds when their last response was closed. */
+    const idle = new Map<Socket, { bytesRead: number; since: number }>();
     const gate = new RequestGate();
+    const closer = new ConnectionCloser({ gate });
     const handle = async (request: IncomingMessage, url: string, response: ServerResponse): Promise<void> => {
         const closeAfterAnswer = () => {
             response.setHeader("connection", "close");
@@ -187,7 +205,10 @@
             return;
         }
         let control = NO_ANSWER;
-        const sink = createResponse(response, options.isServing, closeAfterAnswer, bytes => control.credit(bytes));
+        const isLast = () => openResponses.get(request.socket)?.size === 1;
+        const cut = () => closer.cut(response);
+        const connection = { isServing: options.isServing, isLast, closeAfterAnswer, cut };
+        const sink = createResponse(response, connection, bytes => control.credit(bytes));
         if (!Buffer.isBuffer(body)) {
             options.refusedEarly(body);
             // The rest of the body isn't read, so the connection can't be reused.
@@ -223,10 +244,6 @@
             handle(request, `${event.url.pathname}${event.url.search}`, response).catch(reject);
         });
     });
-    /** Unfinished responses by socket; a caller may send its next request before the previous one is answered. */
-    const openResponses = new Map<Socket, Set<ServerResponse>>();
-    /** Idle connections, with the number of bytes received when their last response was closed. */
-    const bytesReadAtIdle = new Map<Socket, number>();
     const handleNode = toNodeHandler(app) as (request: IncomingMessage, response: ServerResponse) => void;
     const server = createServer(
         {
@@ -247,14 +264,14 @@
                 gate.close(socket);
             }
             const responses = openResponses.get(socket) ?? new Set();
-            bytesReadAtIdle.delete(socket);
+            idle.delete(socket);
             openResponses.set(socket, responses.add(response));
             response.once("close", () => {
                 responses.delete(response);
                 if (responses.size === 0) {
                     openResponses.delete(socket);
                     if (!socket.destroyed) {
-                        bytesReadAtIdle.set(socket, socket.bytesRead);
+                        idle.set(socket, { bytesRead: socket.bytesRead, since: performance.now() });
                     }
                 }
             });
@@ -264,14 +281,18 @@
     server.maxConnections = options.connectionLimit;
     handleClientErrors(server, {
         gate,
+        closer,
         responses: socket => openResponses.get(socket) ?? [],
         refuse: (socket, error) => {
             const refusal = refusalOfClientError(error, options.headerLimit);
             options.refusedEarly(refusal);
-            endWithProblem(socket, refusal, outcomeHeader(refusal));
+            writeLastProblem(socket, refusal, outcomeHeader(refusal));
         },
     });
-    server.on("connection", socket => socket.once("close", () => bytesReadAtIdle.delete(socket)));
+    server.on("connection", (socket: Socket) => {
+        closer.adopt(socket);
+        socket.once("close", () => idle.delete(socket));
+    });
     return Object.assign(server, {
         // The `close` and `closeIdleConnections` methods of Node.js also destroy connections whose answers have ended
         // but aren't sent yet, because their callers read slowly.
@@ -279,12 +300,13 @@
             SocketServer.prototype.close.call(server);
         },
         closeIdle: () => {
-            for (const [socket, bytesRead] of bytesReadAtIdle) {
+            for (const [socket, { bytesRead, since }] of idle) {
                 if (socket.bytesRead === bytesRead) {
-                    socket.destroy();
+                    closer.closeUnread(socket, performance.now() - since);
                 }
             }
         },
+        closing: () => closer.size,
         unfinished: () => [...openResponses.values()].reduce((sum, responses) => sum + responses.size, 0),
     });
 };
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -12,7 +12,8 @@
 import type { ClientLimits } from "../version/routeConfig.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import { AnswerTurn } from "./answerTurn.js";
-import { endWithProblem, handleClientErrors, writeProblem } from "./problemAnswer.js";
+import { ConnectionCloser } from "./connectionCloser.js";
+import { handleClientErrors, writeLastProblem, writeProblem } from "./problemAnswer.js";
 import { RequestGate } from "./requestGate.js";
 
 /** Limits that apply until a config is known. */
@@ -73,6 +74,8 @@
     exchanges: Set<Exchange>;
     /** Bytes received when the last answer was closed, 0 before the first; `undefined` while a request runs. */
     idleAtBytes: number | undefined;
+    /** Monotonic time in milliseconds at which its last answer was handed to the operating system; `-Infinity` if none was. */
+    answeredAt: number;
     /** Monotonic time in milliseconds. */
     openedAt: number;
     /** Monotonic time in milliseconds since which the connection isn't read; `undefined` while it is. */
@@ -126,8 +129,12 @@
     setLimits(limits: ClientLimits): void;
     /** Closes idle connections and, from now on, each connection after its last pending answer. */
     startDraining(): void;
+    /** Accepts no more connections, and closes those without a pending answer, also if part of a request has arrived. */
+    closeAll(): void;
     /** Number of requests without a complete answer. */
     unfinished(): number;
+    /** Number of closed connections whose callers may not have received their last answers. */
+    closing(): number;
     dispose(): void;
 }
 
@@ -156,6 +163,7 @@
     let bufferedBytes = 0;
     const connections = new Map<Socket, CallerConnection>();
     const gate = new RequestGate();
+    const closer = new ConnectionCloser({ gate });
 
     const connectionOf = (socket: Socket): CallerConnection => {
         const known = connections.get(socket);
@@ -165,10 +173,12 @@
         const connection: CallerConnection = {
             exchanges: new Set(),
             idleAtBytes: 0,
+            answeredAt: -Infinity,
             openedAt: options.monotonicMs(),
             pausedAt: undefined,
         };
         connections.set(socket, connection);
+        closer.adopt(socket);
         socket.on("pause", () => (connection.pausedAt ??= options.monotonicMs()));
         socket.on("resume", () => (connection.pausedAt = undefined));
         const endOf = ({ pausedAt = Infinity }: CallerConnection): CallerEnd => {
@@ -191,15 +201,11 @@
         return connection;
     };
 
-    /**
-     * Closes an idle connection in both directions: a request that arrives during the close isn't read, so its caller
-     * knows that it didn't run.
-     */
     const closeIfIdle = (socket: Socket, connection: CallerConnection) => {
         const awaitsFirstRequest =
             connection.idleAtBytes === 0 && options.monotonicMs() - connection.openedAt < FIRST_REQUEST_WAIT_MS;
         if (connection.exchanges.size === 0 && connection.idleAtBytes === socket.bytesRead && !awaitsFirstRequest) {
-            socket.destroy();
+            closer.closeUnread(socket, options.monotonicMs() - connection.answeredAt);
         }
     };
 
@@ -270,7 +276,12 @@
                         return false;
                     },
                     end: () => turn.run(() => response.end()),
-                    abort: () => response.destroy(),
+                    abort: () =>
+                        turn.run(() => {
+                            closer.cut(response);
+                            const end: CallerEnd = { since: options.monotonicMs(), cause: undefined };
+                            connection.exchanges.forEach(exchange => exchange.cancel(end));
+                        }),
                 };
             },
         };
@@ -306,6 +317,7 @@
             const [next] = connection.exchanges;
             if (next === undefined) {
                 connection.idleAtBytes = request.socket.bytesRead;
+                connection.answeredAt = options.monotonicMs();
             } else {
                 next.turn.take();
             }
@@ -398,8 +410,9 @@
     server.on("connection", (socket: Socket) => void connectionOf(socket));
     handleClientErrors(server, {
         gate,
+        closer,
         responses: socket => [...(connections.get(socket)?.exchanges ?? [])].map(({ response }) => response),
-        refuse: (socket, error) => endWithProblem(socket, refusalOfClientError(error)),
+        refuse: (socket, error) => writeLastProblem(socket, refusalOfClientError(error)),
     });
 
     return {
@@ -420,6 +433,20 @@
             draining = true;
             connections.forEach((connection, socket) => closeIfIdle(socket, connection));
         },
+        closeAll: () => {
+            SocketServer.prototype.close.call(server);
+            connections.forEach((connection, socket) => {
+                if (connection.exchanges.size > 0) {
+                    return;
+                }
+                if (connection.idleAtBytes === socket.bytesRead) {
+                    closer.closeUnread(socket, options.monotonicMs() - connection.answeredAt);
+                } else {
+                    closer.close(socket);
+                }
+            });
+        },
+        closing: () => closer.size,
         unfinished: () => [...connections.values()].reduce((sum, { exchanges }) => sum + exchanges.size, 0),
         dispose: () => {
             SocketServer.prototype.close.call(server);
--- a/src/connection/problemAnswer.ts
+++ b/src/connection/problemAnswer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { afterInput } from "../process/runtime/afterInput.js";
 import { delayField, problemOfRefusal, type Refusal } from "../request/refusal.js";
+import type { ConnectionCloser } from "./connectionCloser.js";
 import type { RequestGate } from "./requestGate.js";
 
 const MEDIA_TYPE = "application/problem+json";
@@ -24,8 +25,8 @@
     response.end(body);
 };
 
-/** Answers on a socket whose bytes the HTTP parser rejected, and closes it. */
-export const endWithProblem = (socket: Socket, refusal: Refusal, headers: Record<string, string> = {}): void => {
+/** Answers on a socket whose bytes the HTTP parser rejected. The connection has to be closed then. */
+export const writeLastProblem = (socket: Socket, refusal: Refusal, headers: Record<string, string> = {}): void => {
     const problem = problemOfRefusal(refusal);
     const body = JSON.stringify(problem.body);
     const lines = [
@@ -35,7 +36,7 @@
         `content-length: ${Buffer.byteLength(body)}`,
         "connection: close",
     ];
-    socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
+    socket.write(`${lines.join("\r\n")}\r\n\r\n${body}`);
 };
 
 /**
@@ -43,46 +44,50 @@
  * Node.js runs overdue timers before it reads from sockets.
  *
  * @param options.responses unfinished responses of a socket
- * @param options.refuse answers the invalid request and closes the socket, on which the gate then admits nothing
+ * @param options.refuse answers the invalid request; the connection is closed afterwards
  *
  * @example
- * const refuse = (socket: Socket, error: Error) => endWithProblem(socket, refusalOf(error));
- * handleClientErrors(server, { gate, responses: responsesOf, refuse });
+ * const refuse = (socket: Socket, error: Error) => writeLastProblem(socket, refusalOf(error));
+ * handleClientErrors(server, { gate, closer, responses: responsesOf, refuse });
  */
 export const handleClientErrors = (
     server: Server,
     {
         gate,
+        closer,
         responses,
         refuse,
     }: {
         gate: RequestGate;
+        closer: ConnectionCloser;
         responses: (socket: Socket) => Iterable<ServerResponse>;
         refuse: (socket: Socket, error: NodeJS.ErrnoException) => void;
     },
 ): void => {
+    const refuseAndClose = (socket: Socket, error: NodeJS.ErrnoException) => {
+        refuse(socket, error);
+        closer.close(socket);
+    };
     const refuseLast = (socket: Socket, error: NodeJS.ErrnoException) => {
         if (gate.isClosed(socket) || !socket.writable) {
             return;
         }
         const complete = [...responses(socket)].filter(({ req }) => req.complete);
         if (complete.length === 0) {
-            gate.close(socket);
-            refuse(socket, error);
+            refuseAndClose(socket, error);
             return;
         }
         // Complete requests arrived before the invalid bytes. The refusal must not be taken for their answer.
         socket.pause();
         const refuseWhenAnswered = () => {
             if (complete.every(({ closed }) => closed) && socket.writable) {
-                gate.close(socket);
-                refuse(socket, error);
+                refuseAndClose(socket, error);
             }
         };
         complete.forEach(response => response.once("close", refuseWhenAnswered));
     };
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-        if (!socket.writable || error.code === "ECONNRESET") {
+        if (error.code === "ECONNRESET" || (!socket.writable && !gate.isClosed(socket))) {
             socket.destroy();
             return;
         }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -442,6 +442,7 @@
         return (
             this.callers.open > 0 ||
             this.callerServer.unfinished() > 0 ||
+            this.callerServer.closing() > 0 ||
             this.undeliveredAnswers > 0 ||
             this.dispatchers.openRequests() > 0
         );
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -75,6 +75,8 @@
 const OUTAGE_CHECK_MS = 250;
 /** Interval at which idle connections are closed while stopping, in milliseconds. */
 const DRAIN_STEP_MS = 100;
+/** Interval of the checks whether callers have closed their connections, in milliseconds. */
+const CLOSE_STEP_MS = 20;
 /** Time for which a process that has failed delivers its last answers, in milliseconds. */
 const FAILURE_DELIVERY_MS = 300;
 
@@ -398,6 +400,10 @@
             this.server.startDraining();
             await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
         }
+        this.server.closeAll();
+        while (this.server.closing() > 0 && elapsedMs() < endsAfterMs) {
+            await new Promise<void>(resolve => clock.setTimer(CLOSE_STEP_MS, resolve));
+        }
         loggers("daemon").info("Stopped.", { unfinished: this.server.unfinished(), ms: Math.round(elapsedMs()) });
         this.dispose();
     }
@@ -413,10 +419,15 @@
         const { clock } = this.options;
         const began = clock.monotonicMs();
         this.endBy(began, began);
+        const hasTime = () => clock.monotonicMs() - began < FAILURE_DELIVERY_MS;
         do {
             this.server.startDraining();
             await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
-        } while (this.server.unfinished() > 0 && clock.monotonicMs() - began < FAILURE_DELIVERY_MS);
+        } while (this.server.unfinished() > 0 && hasTime());
+        this.server.closeAll();
+        while (this.server.closing() > 0 && hasTime()) {
+            await new Promise<void>(resolve => clock.setTimer(CLOSE_STEP_MS, resolve));
+        }
         this.dispose();
     }
 
