Bound the work for the lines of an endless answer

With 60 requests a second to a target that sends short header fields or trailers without end, other clients' requests took up to 57 s; the process kept standing still.

Cause: the parser of the HTTP client handles all that it is given, even after it has closed the connection for too many bytes of headers, and makes an error for each further field: 4.7 of 7.2 s in a CPU profile of 20 such answers.

Content of a stated length isn't looked at.

Content in small chunks was broken off when its caller read slowly, and isn't any more.

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -37,3 +37,85 @@
     const valueOf = (wanted: string) => headers.find(({ name }) => name.toLowerCase() === wanted)?.value;
     expect([valueOf("stated"), valueOf("other")]).toEqual(["1", "a b"]);
 });
+
+const disposals: (() => unknown)[] = [];
+afterEach(() => Promise.all(disposals.splice(0).map(dispose => dispose())));
+
+/** Receives one answer as far as it comes; reading is paused for a moment at each part of `pauseEvery`. */
+const receive = (connections: TargetConnections, pauseEvery = Infinity) =>
+    new Promise<{ content: string; headers: number; failure?: TargetFailure }>(resolve => {
+        let content = "";
+        let headers = 0;
+        let parts = 0;
+        const sent = connections.send(
+            REQUEST,
+            {
+                sent: () => undefined,
+                head: (_, received) => (headers = received.length),
+                data: chunk => {
+                    content += Buffer.from(chunk).toString("latin1");
+                    if (++parts % pauseEvery === 0) {
+                        sent.pause();
+                        setTimeout(() => sent.resume(), 1);
+                    }
+                },
+                end: () => resolve({ content, headers }),
+                failed: failure => resolve({ content, headers, failure }),
+            },
+            { fresh: false },
+        );
+    });
+
+/** Content of short lines, which is read in pieces, since lines could be those of a head. */
+const LINES = Array.from({ length: 60_000 }, (_, index) => `${index}\r\n`).join("");
+const chunked = (text: string, size: number): string => {
+    const chunks: string[] = [];
+    for (let at = 0; at < text.length; at += size) {
+        const part = text.slice(at, at + size);
+        chunks.push(`${part.length.toString(16)}\r\n${part}\r\n`);
+    }
+    return `${chunks.join("")}0\r\n\r\n`;
+};
+
+/** Answers with that content: what follows the status line, and whether the connection ends then. */
+const FRAMED: [string, string, boolean][] = [
+    ["a length", `Content-Length: ${LINES.length}\r\n\r\n${LINES}`, false],
+    ["chunks", `Transfer-Encoding: chunked\r\n\r\n${chunked(LINES, 40_000)}`, false],
+    ["small chunks", `Transfer-Encoding: chunked\r\n\r\n${chunked(LINES, 50)}`, false],
+    ["the end of the connection", `\r\n${LINES}`, true],
+];
+
+test.each(
+    FRAMED.flatMap(([name, rest, ends]) => [
+        { name, rest, ends, pauseEvery: Infinity },
+        { name: `${name}, with pauses`, rest, ends, pauseEvery: 3 },
+    ]),
+)("guards against content of many short lines of which a part is lost, delimited by $name", async given => {
+    const { rest, ends, pauseEvery } = given;
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${rest}`);
+        if (ends) {
+            socket.end();
+        }
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    const { content, failure } = await receive(connections, pauseEvery);
+    expect(failure).toBeUndefined();
+    expect(content === LINES).toBe(true);
+});
+
+test.each([
+    ["a head of 400 lines", "X-A: b\r\n".repeat(400), 400, undefined],
+    ["a head of 5,000 lines", "X-A: b\r\n".repeat(5_000), 0, "excessive-framing"],
+])("guards against unlimited work for the lines of an answer, but takes %s", async (_, fields, expected, failed) => {
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${fields}Content-Length: 5\r\n\r\nwhole`);
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    const { content, headers, failure } = await receive(connections);
+    expect(failure?.type).toBe(failed);
+    expect(headers).toBe(expected === 0 ? 0 : expected + 1);
+    expect(content).toBe(failed === undefined ? "whole" : "");
+});
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -14,6 +14,8 @@
 const MAX_FRAMING_BYTES = 262_144;
 /** Maximum ratio of an answer's bytes to its content. Chunks of a single byte have a ratio of 6. */
 const MAX_FRAMING_RATIO = 8;
+/** Maximum number of lines of an answer's head, with the informational answers before it, and of its trailer. */
+const MAX_LINES = 512;
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -64,6 +66,8 @@
     idle: boolean;
     /** Size of the content that was read since the last write, in bytes. */
     contentBytes: number;
+    /** Size of the content that the head of the answer states, in bytes; 0 if it states none. */
+    statedBytes: number;
     /** Whether the connection was reset. The HTTP client reports an answer without a length as complete even then. */
     wasReset: boolean;
 }
@@ -164,6 +168,7 @@
             },
             onResponseStart: (_controller, status, headers) => {
                 if (status >= 200) {
+                    connection.statedBytes = Number(headers["content-length"] ?? 0);
                     const boot = headers["sassafrasloom-boot"];
                     answer.head(status, toHeaderList(headers), typeof boot === "string" ? boot : undefined);
                 }
@@ -276,8 +281,14 @@
                 timeoutMs: this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
                 readLimit: {
                     isExcessive: bytes => bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * connection.contentBytes,
+                    lines: {
+                        max: MAX_LINES,
+                        contentBytes: () => connection.contentBytes,
+                        areContent: bytes => bytes <= connection.statedBytes - connection.contentBytes,
+                    },
                     onWrite: () => {
                         connection.contentBytes = 0;
+                        connection.statedBytes = 0;
                     },
                 },
                 onReset: () => {
@@ -295,6 +306,7 @@
             lastSuccessAt: this.clock.monotonicMs(),
             idle: false,
             contentBytes: 0,
+            statedBytes: 0,
             wasReset: false,
         };
         this.connections.add(connection);
