Pause answers without pausing the HTTP client

The process of a gateway ended, with the requests of all its callers, when a target closed the connection of an answer without a length that was paused because its caller read slowly.

Cause: the HTTP client asserts at the end of a connection that its parser isn't paused, in an event of the socket, where nothing handles the error. Found by a test of content that is read in pieces.

Change: while an answer is paused, the HTTP client is given no bytes, so it sees the end of the connection when they have been read. Its own pause isn't used.

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -105,6 +105,26 @@
     expect(content === LINES).toBe(true);
 });
 
+// The process ended by an assertion of the HTTP client.
+test.each([
+    ["an answer without a length", "\r\n", 3_000_000],
+    ["an answer with a length", "Content-Length: 3000000\r\n\r\n", 3_000_000],
+    ["an answer whose end is missing", "Content-Length: 4000000\r\n\r\n", undefined],
+])("guards against a pause during which the connection ends, for %s", async (_, fields, expected) => {
+    for (let round = 0; round < 5; round++) {
+        const target = await startScriptedTarget(({ socket }) => {
+            socket.end(`HTTP/1.1 200 OK\r\n${fields}${"x".repeat(3_000_000)}`);
+        });
+        const connections = new TargetConnections(target.address, systemClock);
+        disposals.push(() => connections.dispose(), target.dispose);
+        const { content, failure } = await receive(connections, 1);
+        expect(failure === undefined).toBe(expected !== undefined);
+        if (expected !== undefined) {
+            expect(content).toHaveLength(expected);
+        }
+    }
+});
+
 test.each([
     ["a head of 400 lines", "X-A: b\r\n".repeat(400), 400, undefined],
     ["a head of 5,000 lines", "X-A: b\r\n".repeat(5_000), 0, "excessive-framing"],
--- a/src/connection/limitReads.ts
+++ b/src/connection/limitReads.ts
@@ -28,6 +28,8 @@
         /** Whether so many further bytes are content, by the length that the answer states. */
         areContent: (bytes: number) => boolean;
     };
+    /** Whether nothing is to be read for now. */
+    isPaused?: () => boolean;
     /** Called before a write, with which the counts start anew. */
     onWrite?: () => void;
 }
@@ -50,7 +52,7 @@
  * @example
  * limitReads(socket, { isExcessive: bytes => bytes > 1_048_576 });
  */
-export const limitReads = (socket: Socket, { isExcessive, lines, onWrite }: ReadLimit): void => {
+export const limitReads = (socket: Socket, { isExcessive, lines, isPaused, onWrite }: ReadLimit): void => {
     let bytesReadBefore = socket.bytesRead;
     /** Lines that were read since there was content, and the number of bytes of content then. */
     let barren = { lines: 0, contentBytes: 0 };
@@ -79,6 +81,9 @@
             // Streams call this with 0 to have more buffered, and discard what it returns.
             return read(size) as unknown;
         }
+        if (isPaused?.() === true) {
+            return null;
+        }
         const pieceBytes = Math.min(PIECE_BYTES, leftInPieces);
         // Without a size, more would be buffered for each piece.
         const bytes = read(pieceBytes > 0 ? pieceBytes : undefined) as Buffer | null;
--- a/src/connection/resettingConnector.ts
+++ b/src/connection/resettingConnector.ts
@@ -43,10 +43,12 @@
 export const resettingConnector = (options: {
     timeoutMs: number;
     readLimit: ReadLimit;
+    /** Called with each connection that is established. */
+    onConnect?: (socket: Socket) => void;
     /** Called when a connection fails, before the HTTP client handles the failure. */
     onReset?: () => void;
 }): buildConnector.connector => {
-    const { timeoutMs, readLimit, onReset = () => undefined } = options;
+    const { timeoutMs, readLimit, onConnect = () => undefined, onReset = () => undefined } = options;
     const connect = buildConnector({ timeout: timeoutMs });
     return (options, callback) =>
         connect(options, (...[error, socket]) => {
@@ -57,6 +59,7 @@
             socket.once("error", onReset);
             resetOnDestroy(socket);
             limitReads(socket, readLimit);
+            onConnect(socket);
             // The request is written at once, so the end of its caller's connection has to be read before.
             afterInput(() => {
                 if (socket.destroyed) {
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -68,6 +68,10 @@
     contentBytes: number;
     /** Size of the content that the head of the answer states, in bytes; 0 if it states none. */
     statedBytes: number;
+    /** Whether the answer isn't read for now. */
+    isPaused: boolean;
+    /** Has the HTTP client read on; set when the connection is established. */
+    readOn: () => void;
     /** Whether the connection was reset. The HTTP client reports an answer without a length as complete even then. */
     wasReset: boolean;
 }
@@ -208,8 +212,16 @@
                     controller.abort(new Error(reason));
                 }
             },
-            pause: () => controller?.pause(),
-            resume: () => controller?.resume(),
+            // The HTTP client's own pause throws an error that nobody handles if the connection ends meanwhile.
+            pause: () => {
+                connection.isPaused = !settled;
+            },
+            resume: () => {
+                if (connection.isPaused) {
+                    connection.isPaused = false;
+                    connection.readOn();
+                }
+            },
         };
     }
 
@@ -286,11 +298,16 @@
                         contentBytes: () => connection.contentBytes,
                         areContent: bytes => bytes <= connection.statedBytes - connection.contentBytes,
                     },
+                    isPaused: () => connection.isPaused,
                     onWrite: () => {
                         connection.contentBytes = 0;
                         connection.statedBytes = 0;
+                        connection.isPaused = false;
                     },
                 },
+                onConnect: socket => {
+                    connection.readOn = () => socket.emit("readable");
+                },
                 onReset: () => {
                     connection.wasReset = true;
                 },
@@ -307,6 +324,8 @@
             idle: false,
             contentBytes: 0,
             statedBytes: 0,
+            isPaused: false,
+            readOn: () => undefined,
             wasReset: false,
         };
         this.connections.add(connection);
