Read content of many lines in larger pieces

Reading in pieces of 2 KB cost processor time where content has many short lines.

Lines are counted only if there was no content in what was read, content of a stated length is read whole, and pieces that follow content have 8 KB.

--- a/src/connection/limitReads.ts
+++ b/src/connection/limitReads.ts
@@ -1,7 +1,8 @@
 import type { Socket } from "node:net";
 
-/** Size of the pieces in which bytes with many lines are read, in bytes. */
+/** Size of the pieces in which bytes with many lines are read, in bytes, and the same after pieces that had content. */
 const PIECE_BYTES = 2_048;
+const CONTENT_PIECE_BYTES = 8_192;
 /** Maximum number of lines in what is read at once, as an HTTP parser handles each line of a head or a trailer on its own. */
 const MAX_LINES_AT_ONCE = 256;
 const LINE_FEED = 10;
@@ -15,19 +16,22 @@
     }
 }
 
+/** Limit on the lines of heads and trailers. */
+interface LineLimit {
+    /** Maximum number of lines that are read without any content. */
+    max: number;
+    /** Number of bytes of content since the last write. */
+    contentBytes: () => number;
+    /** Whether so many further bytes are content, by the length that the answer states. */
+    areContent: (bytes: number) => boolean;
+}
+
 /** Limit on what a connection reads. */
 export interface ReadLimit {
     /** Whether an answer is excessive, by the number of bytes read since the last write. */
     isExcessive: (bytes: number) => boolean;
-    /** Limit on the lines of heads and trailers; there is none when it is left out. */
-    lines?: {
-        /** Maximum number of lines that are read without any content. */
-        max: number;
-        /** Number of bytes of content since the last write. */
-        contentBytes: () => number;
-        /** Whether so many further bytes are content, by the length that the answer states. */
-        areContent: (bytes: number) => boolean;
-    };
+    /** There is no limit on lines when it is left out. */
+    lines?: LineLimit;
     /** Whether nothing is to be read for now. */
     isPaused?: () => boolean;
     /** Called before a write, with which the counts start anew. */
@@ -56,25 +60,42 @@
     let bytesReadBefore = socket.bytesRead;
     /** Lines that were read since there was content, and the number of bytes of content then. */
     let barren = { lines: 0, contentBytes: 0 };
+    /** What was read last, as long as it isn't known whether there was content in it. */
+    let last: Buffer | undefined;
     /** Number of buffered bytes that are still to be read in pieces. */
     let leftInPieces = 0;
     const read = socket.read.bind(socket);
     const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
-    const excessOf = (): string | undefined => {
-        const bytes = socket.bytesRead - bytesReadBefore;
-        if (isExcessive(bytes)) {
-            return `${bytes} bytes`;
+    /** Counts the lines of what was read last. Returns whether there was content in it. */
+    const countLast = ({ max, contentBytes }: LineLimit): boolean => {
+        const hadContent = contentBytes() !== barren.contentBytes;
+        if (hadContent) {
+            barren = { lines: 0, contentBytes: contentBytes() };
+        } else if (last !== undefined) {
+            barren.lines += countLines(last, max);
         }
-        const contentBytes = lines?.contentBytes() ?? 0;
-        if (contentBytes !== barren.contentBytes) {
-            barren = { lines: 0, contentBytes };
+        last = undefined;
+        return hadContent;
+    };
+    /** Reads what is buffered, or a piece of it. */
+    const readPiece = (maxBytes: number): Buffer | null => {
+        const isContent = leftInPieces > 0 && lines?.areContent(leftInPieces) === true;
+        const size = isContent ? leftInPieces : Math.min(maxBytes, leftInPieces);
+        // Without a size, more would be buffered for each piece.
+        const bytes = read(size > 0 ? size : undefined) as Buffer | null;
+        leftInPieces -= size;
+        const isWhole = bytes === null || bytes.length <= maxBytes || lines?.areContent(bytes.length) === true;
+        if (isWhole || countLines(bytes, MAX_LINES_AT_ONCE) <= MAX_LINES_AT_ONCE) {
+            return bytes;
         }
-        return lines !== undefined && barren.lines > lines.max ? `${barren.lines} lines` : undefined;
+        leftInPieces = bytes.length - maxBytes;
+        socket.unshift(bytes.subarray(maxBytes));
+        return bytes.subarray(0, maxBytes);
     };
     socket.read = (size?: number) => {
-        const excess = socket.destroyed ? undefined : excessOf();
-        if (excess !== undefined) {
-            socket.destroy(new ExcessiveReadError(excess));
+        const bytes = socket.bytesRead - bytesReadBefore;
+        if (!socket.destroyed && isExcessive(bytes)) {
+            socket.destroy(new ExcessiveReadError(`${bytes} bytes`));
             return null;
         }
         if (size !== undefined) {
@@ -84,27 +105,18 @@
         if (isPaused?.() === true) {
             return null;
         }
-        const pieceBytes = Math.min(PIECE_BYTES, leftInPieces);
-        // Without a size, more would be buffered for each piece.
-        const bytes = read(pieceBytes > 0 ? pieceBytes : undefined) as Buffer | null;
-        leftInPieces -= pieceBytes;
-        if (bytes === null || lines?.areContent(bytes.length) === true) {
-            return bytes;
-        }
-        const count = countLines(bytes, MAX_LINES_AT_ONCE);
-        if (count <= MAX_LINES_AT_ONCE || bytes.length <= PIECE_BYTES) {
-            barren.lines += count;
-            return bytes;
+        const hadContent = lines !== undefined && countLast(lines);
+        if (!socket.destroyed && lines !== undefined && barren.lines > lines.max) {
+            socket.destroy(new ExcessiveReadError(`${barren.lines} lines`));
+            return null;
         }
-        const piece = bytes.subarray(0, PIECE_BYTES);
-        barren.lines += countLines(piece, PIECE_BYTES);
-        leftInPieces = bytes.length - PIECE_BYTES;
-        socket.unshift(bytes.subarray(PIECE_BYTES));
-        return piece;
+        last = readPiece(hadContent ? CONTENT_PIECE_BYTES : PIECE_BYTES) ?? undefined;
+        return last ?? null;
     };
     socket.write = (...args: unknown[]) => {
         bytesReadBefore = socket.bytesRead;
         barren = { lines: 0, contentBytes: 0 };
+        last = undefined;
         onWrite?.();
         return write(...args);
     };
