Refuse chunked bodies above the limit at the daemons again

Cause: the socket was taken from the request after its body had been given up, and such a request has none any more.

Change: the socket is taken before the body is read. The new case of callerServer.test.ts failed before and passes, as does badInput.test.ts.

--- a/src/connection/__tests__/callerServer.test.ts
+++ b/src/connection/__tests__/callerServer.test.ts
@@ -103,6 +103,14 @@
         expect((await received).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
     });
 
+    test("guards against a chunked body above the limit that isn't answered 413", async () => {
+        const received = await exchange(
+            address,
+            `POST /orders/1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${"400\r\n".concat("x".repeat(0x400), "\r\n").repeat(9)}`,
+        );
+        expect(received).toMatch(/^HTTP\/1\.1 413 /);
+    });
+
     test("guards against a path with dot segments that is assigned to the wrong service", async () => {
         const urls: string[] = [];
         answer = ({ url }, response) => {
--- a/src/connection/callerServer.ts
+++ b/src/connection/callerServer.ts
@@ -190,9 +190,11 @@
     const gate = new RequestGate();
     const closer = new ConnectionCloser({ gate });
     const handle = async (request: IncomingMessage, url: string, response: ServerResponse): Promise<void> => {
+        // A request whose body isn't read to its end loses its socket.
+        const { socket } = request;
         const closeAfterAnswer = () => {
             response.setHeader("connection", "close");
-            gate.close(request.socket);
+            gate.close(socket);
         };
         const body = await readBody(request, options.bodyLimit);
         if (body === undefined) {
@@ -200,12 +202,12 @@
             response.destroy();
             return;
         }
-        if (request.socket.writableEnded) {
+        if (socket.writableEnded) {
             // A refusal has ended the connection while the body arrived.
             return;
         }
         let control = NO_ANSWER;
-        const isLast = () => openResponses.get(request.socket)?.size === 1;
+        const isLast = () => openResponses.get(socket)?.size === 1;
         const cut = () => closer.cut(response);
         const connection = { isServing: options.isServing, isLast, closeAfterAnswer, cut };
         const sink = createResponse(response, connection, bytes => control.credit(bytes));
@@ -223,7 +225,7 @@
                 control.cancel();
             }
         });
-        const { method = "", headers, socket } = request;
+        const { method = "", headers } = request;
         control = options.answer({ method, url, headers, remoteAddress: socket.remoteAddress ?? "", body }, sink);
         if (closed && !response.writableEnded) {
             control.cancel();
