--- a/src/connection/connectionCloser.ts
+++ b/src/connection/connectionCloser.ts
@@ -63,8 +63,8 @@
     }
 
     /**
-     * Ends an idle connection after what was written, and reads nothing more: a caller whose request crosses the close knows
-     * that it wasn't read.
+     * Ends an idle connection after what was written, and reads nothing more. A request that crosses the close stays unread, so
+     * its caller may send it again.
      *
      * @param answeredMs time since its last answer was handed to the operating system, in milliseconds
      */
--- a/src/connection/limitReads.ts
+++ b/src/connection/limitReads.ts
@@ -32,7 +32,7 @@
     isExcessive: (bytes: number) => boolean;
     /** There is no limit on lines when it is left out. */
     lines?: LineLimit;
-    /** Whether nothing is to be read for now. */
+    /** Whether reading is paused. */
     isPaused?: () => boolean;
     /** Called before a write, with which the counts start anew. */
     onWrite?: () => void;
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -68,7 +68,7 @@
     contentBytes: number;
     /** Size of the content that the head of the answer states, in bytes; 0 if it states none. */
     statedBytes: number;
-    /** Whether the answer isn't read for now. */
+    /** Whether reading of the answer is paused. */
     isPaused: boolean;
     /** Has the HTTP client read on; set when the connection is established. */
     readOn: () => void;
--- a/test/failure/endlessLoad.test.ts
+++ b/test/failure/endlessLoad.test.ts
@@ -11,7 +11,7 @@
 const LASTS_MS = 3_000;
 /** Time in which a request must have its answer: half a second after the timeout of its route, in milliseconds. */
 const MAX_ANSWER_MS = ROUTE_TIMEOUT_MS + 500;
-/** Memory that the process may have, in megabytes: half of what the smallest machines of the deploy file's class have. */
+/** Memory that the process may have, in megabytes: half of the 350 MB that most sites allow. */
 const MEMORY_MB = 175;
 
 const config = (): unknown => {
