Log what showed that a former owner holds keys no more

The line about a new owner now has the proof, the time until the known grants expire and the era. The condition by which keys are free is the same.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -69,6 +69,10 @@
     isAsked: boolean;
 }
 
+/** What shows that the former owner of keys holds them no more; `docs/OPERATIONS.md` explains each. */
+type EndOfHold =
+    "no-owner" | "released" | "process-ended" | "other-target" | "expired" | "inherited-expired" | "restarted";
+
 interface QueuedChange {
     /** Changes the ranges; `fence` is the fencing token of the transaction. */
     apply: (ranges: KeyRange[], fence: number) => KeyRange[];
@@ -557,7 +561,7 @@
     /** Whether the keys are free, or their owner may be asked to release them. */
     private canReclaim(move: KeyMove, now: number): boolean {
         const range = this.assignment.ranges.find(candidate => overlaps(candidate, move));
-        if (range === undefined || this.isFree(range, now)) {
+        if (range === undefined || this.endOfHold(range, now) !== undefined) {
             return true;
         }
         const holder = this.holderOf(range);
@@ -608,6 +612,9 @@
                 source: piece.target,
                 fence,
                 handover: reclaimed.handover !== undefined,
+                proof: reclaimed.proof,
+                holdEndsInMs: this.holdEndsInMs(piece),
+                era: this.era,
                 ms: Math.round(clock.monotonicMs() - began),
             });
             await this.grantUntilAnswered(receiver, { ...range, fence });
@@ -619,7 +626,7 @@
         range: KeyRange,
         from: number,
         to: number,
-    ): Promise<{ handover: string | undefined } | undefined> {
+    ): Promise<{ handover: string | undefined; proof: EndOfHold } | undefined> {
         const { calls, clock, lease } = this.options;
         const owner = this.holderOf(range);
         let { fence } = range;
@@ -630,8 +637,9 @@
             if (this.disposed || this.isUncertain || !lease.isHeld()) {
                 return undefined;
             }
-            if (this.isFree(range, clock.monotonicMs())) {
-                return { handover: undefined };
+            const proof = this.endOfHold(range, clock.monotonicMs());
+            if (proof !== undefined) {
+                return { handover: undefined, proof };
             }
             if (owner === undefined) {
                 return undefined;
@@ -653,10 +661,10 @@
             const reply = await calls.release({ id, address }, { from, to, fence }, RELEASE_TIMEOUT_MS);
             if (reply.type === "released") {
                 this.applyStatement(owner, reply);
-                return { handover: reply.handover };
+                return { handover: reply.handover, proof: "released" };
             }
             if (reply.type === "other-target") {
-                return { handover: undefined };
+                return { handover: undefined, proof: "other-target" };
             }
             await this.pause(REPEAT_PAUSE_MS);
         }
@@ -677,15 +685,33 @@
         return { fence, isAnswered: await this.grant(owner, { ...range, fence }) };
     }
 
-    /** Whether no target can hold the keys of a range any more. */
-    private isFree(range: KeyRange, now: number): boolean {
+    /** What shows that no target can hold the keys of a range any more; `undefined` if nothing does. */
+    private endOfHold(range: KeyRange, now: number): EndOfHold | undefined {
         if (range.target === "") {
-            return true;
+            return "no-owner";
         }
-        const holder = this.holderOf(range);
-        return holder === undefined
-            ? this.ownerOf(range)?.ended === true || now >= this.inheritedUntil || this.hasOwnerRestarted(range)
-            : now >= Math.max(holder.grants.endsAt(), this.ownerOf(range)?.grants.endsAt() ?? -Infinity);
+        if (this.holderOf(range) !== undefined) {
+            return now >= this.holdEndsAt(range) ? "expired" : undefined;
+        }
+        if (this.ownerOf(range)?.ended === true) {
+            return "process-ended";
+        }
+        if (now >= this.inheritedUntil) {
+            return "inherited-expired";
+        }
+        return this.hasOwnerRestarted(range) ? "restarted" : undefined;
+    }
+
+    /** Monotonic time in milliseconds at which the last known grant of the keys of a range expires. */
+    private holdEndsAt(range: KeyRange): number {
+        const ends = [this.holderOf(range), this.ownerOf(range)].map(tracked => tracked?.grants.endsAt() ?? -Infinity);
+        return Math.max(...ends);
+    }
+
+    /** Time in milliseconds until the former grants of a range expire, negative if they have; `undefined` if none are known. */
+    private holdEndsInMs(range: KeyRange): number | undefined {
+        const endsInMs = Math.round(this.holdEndsAt(range) - this.options.clock.monotonicMs());
+        return Number.isFinite(endsInMs) ? endsInMs : undefined;
     }
 
     /** Records an owner in the store. */
