Show two owners because of an entry under an owner's identifier

Another writer replaces the entry of a target that is up and owns keys. With a later start, or the same start and another address, its keys get a second owner at once.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -2,6 +2,7 @@
 import { err, type Result } from "neverthrow";
 import {
     AssigningInstances,
+    entryOf,
     SERVICE,
     startWithMovedKeys,
     type AssigningInstance,
@@ -12,6 +13,9 @@
 import { eraOfToken } from "../fencingTokens.js";
 import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
 import type { RowReading, RowTransaction, TransactionOutcome } from "../rowStore.js";
+import type { TargetEntry } from "../targetEntry.js";
+
+const OTHER_SERVICE_ELSEWHERE = { startedAtMs: 2, service: "unnamed", address: "elsewhere:80" };
 
 const unavailable = <Value>() =>
     Promise.resolve(err<Value, PlatformError>({ type: "platform-unavailable", detail: "refused" }));
@@ -290,6 +294,52 @@
     });
 });
 
+/** Guards against an entry that is taken for proof that the owner's process has ended. */
+describe("An entry of another writer under the identifier of an owner", () => {
+    it.each<[string, Partial<TargetEntry>]>([
+        ["a later start and a service that no config names", { startedAtMs: 2, service: "unnamed" }],
+        ["a later start and the address of another target", { startedAtMs: 2, address: "t3:80" }],
+        ["a later start, another service and an address without a process", OTHER_SERVICE_ELSEWHERE],
+        ["the address of another target", { address: "t3:80" }],
+    ])("gives its keys no second owner: %s", async (_, change) => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        system.start("a2");
+        ["t1", "t2", "t3"].forEach(id => system.calls.occupants.set(`${id}:80`, id));
+        system.calls.occupants.set("elsewhere:80", "none");
+        await system.advance(9_000);
+        const { service, address, startedAtMs } = entryOf("t1", 1);
+        for (const writtenForMs of [900, 6_000]) {
+            system.putTarget("t1", change);
+            await system.advance(writtenForMs);
+            expect(system.calls.violations).toEqual([]);
+            // The process of `t1` runs all the while and writes its own entry again.
+            system.putTarget("t1", { service, address, startedAtMs });
+            await system.advance(12_000);
+            expect(system.calls.violations).toEqual([]);
+            expect(system.heldShare()).toBe(1);
+            expect(system.assignment?.ranges.map(({ target }) => target)).toContain("t1");
+        }
+        system.dispose();
+    });
+
+    it("gives its keys no second owner at the next assigner, which has read no earlier entry", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        const first = system.start("a1");
+        system.calls.occupants.set("elsewhere:80", "none");
+        await system.advance(9_000);
+        system.putTarget("t1", { startedAtMs: 2, address: "elsewhere:80" });
+        const release = first.assigners.release();
+        await system.advance(50);
+        await release;
+        first.dispose();
+        system.start("a2");
+        await system.advance(15_000);
+        expect(system.calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
+
 describe("A raised token that no grant has carried to the owner", () => {
     it("doesn't make late grants harmless if the connection for the raised grant is refused", async () => {
         const system = new AssigningInstances(["t1", "t2", "t3"]);
