Take no entry for proof that an owner's process has ended (OWNER)

What callers saw: two targets held the same keys.

Cause: an entry under an owner's own identifier counted as proof that its process had ended, if it stated a later start at another address or for another service. Its keys were free at once, while its grants had seconds to run. With the same start and another address, the address of the owner was replaced, so that the calls went to another target, whose answer counted as the end of the owner. An owner of an earlier assigner was free at once, too, if an entry stated a later start.

Change: a process is named by identifier, start and address. Only a later start at the same address, where whichever process listens is asked to release, replaces a process; in all other cases the owner is asked at once by a renewal, and its keys wait for its release, for the answer of another target, or for the end of its grants. While it is asked, and if it takes the renewal, the entry's target gets no keys. A refused connection is no proof, since cuts refuse connections to living targets, too.

Fixtures of planMoves got the address that a process now has; no check changed.

Keys wait longer than before in one case: a target that starts again under its identifier at another address while its former address doesn't answer. They were free at once and now wait for the end of the grants, up to 8.6 s after the last one, and about 1.2 s more if the owner doesn't answer when it is asked.

--- a/src/process/gateway/__tests__/gatewayTarget.test.ts
+++ b/src/process/gateway/__tests__/gatewayTarget.test.ts
@@ -56,6 +56,7 @@
             targets.map((target, index) => ({
                 id: target.id,
                 startedAtMs: 1,
+                address: "",
                 ...target.measure(index === 0 ? { perSecond: 3, isExceeded } : undefined),
                 canReceive: true,
                 canRelease: true,
--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -4,6 +4,7 @@
 const target = (id: string, change: Partial<PlannedTarget> = {}): PlannedTarget => ({
     id,
     startedAtMs: 1,
+    address: "",
     capacity: 1,
     pressure: 0,
     canReceive: true,
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -17,11 +17,11 @@
     type KeyRange,
 } from "./keyMap.js";
 import { LateGrants } from "./lateGrants.js";
+import { ownerName, processName } from "./processName.js";
 import type { CallStatement, GrantReply, OwnershipCalls } from "./ownershipCalls.js";
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
-import type { TargetEntry } from "./targetEntry.js";
 import { TargetIntake } from "./targetIntake.js";
 
 /** Table of the assignments, which all instances follow. */
@@ -70,8 +70,7 @@
 }
 
 /** What shows that the former owner of keys holds them no more; `docs/OPERATIONS.md` explains each. */
-type EndOfHold =
-    "no-owner" | "released" | "process-ended" | "other-target" | "expired" | "inherited-expired" | "restarted";
+type EndOfHold = "no-owner" | "released" | "process-ended" | "other-target" | "expired" | "inherited-expired";
 
 interface QueuedChange {
     /** Changes the ranges; `fence` is the fencing token of the transaction. */
@@ -181,7 +180,7 @@
 
     /** Records that a target's process has ended: another one listens at its address, or it has restarted. */
     targetEnded(listed: DirectoryTarget): void {
-        const tracked = this.tracked.get(this.identity(listed.entry.id, listed.entry.startedAtMs));
+        const tracked = this.tracked.get(processName(listed.entry));
         if (tracked !== undefined && !tracked.ended) {
             tracked.ended = true;
             this.options.logger.info(`Target ${listed.entry.id} has ended; its keys are free.`);
@@ -264,8 +263,8 @@
         if (this.assignment.ranges.every(({ target }) => target === "")) {
             return true;
         }
-        const listed = new Set(this.options.targets().map(({ entry }) => this.identity(entry.id, entry.startedAtMs)));
-        const isListed = ({ target, startedAtMs }: KeyRange) => listed.has(this.identity(target, startedAtMs));
+        const listed = new Set(this.options.targets().map(({ entry }) => processName(entry)));
+        const isListed = (range: KeyRange) => listed.has(ownerName(range));
         const fence = await this.commit((ranges, fence) =>
             ranges.map(range =>
                 isListed(range) ? { ...range, fence, handover: undefined } : unownedRange(range.from, range.to),
@@ -304,12 +303,8 @@
         return true;
     }
 
-    private identity(id: string, startedAtMs: number): string {
-        return `${id}@${startedAtMs}`;
-    }
-
     private ownerOf(range: KeyRange): TrackedTarget | undefined {
-        return range.target === "" ? undefined : this.tracked.get(this.identity(range.target, range.startedAtMs));
+        return range.target === "" ? undefined : this.tracked.get(ownerName(range));
     }
 
     /**
@@ -335,8 +330,7 @@
         const now = this.options.clock.monotonicMs();
         const listed = new Set<string>();
         for (const target of this.options.targets()) {
-            const { id, startedAtMs } = target.entry;
-            const identity = this.identity(id, startedAtMs);
+            const identity = processName(target.entry);
             listed.add(identity);
             const tracked = this.tracked.get(identity);
             if (tracked === undefined) {
@@ -346,9 +340,7 @@
                 tracked.goneAt = undefined;
             }
         }
-        if (now - this.startedAt > ENTRY_RETURN_MS) {
-            this.trackOwnersWithoutEntry(now);
-        }
+        this.trackOwnersWithoutEntry(now);
         this.endReplacedProcesses();
         for (const [identity, tracked] of this.tracked) {
             if (!listed.has(identity)) {
@@ -360,25 +352,32 @@
         }
     }
 
-    /** Marks processes as ended whose target has restarted, and has those asked whose address another target claims. */
+    /**
+     * Marks processes as ended whose target has restarted at its address, where the new process can be asked to release keys.
+     * Processes are asked themselves if an entry names another address for their target, or their address for another one.
+     */
     private endReplacedProcesses(): void {
-        const byId = new Map<string, TargetEntry>();
+        const byId = new Map<string, DirectoryTarget>();
         const latestAt = new Map<string, DirectoryTarget>();
         for (const target of this.options.allTargets()) {
             const { id, address, startedAtMs } = target.entry;
-            byId.set(id, target.entry);
+            byId.set(id, target);
             if (startedAtMs > (latestAt.get(address)?.entry.startedAtMs ?? -Infinity)) {
                 latestAt.set(address, target);
             }
         }
         for (const tracked of this.tracked.values()) {
             const { id, address, startedAtMs } = tracked.listed.entry;
-            if ((byId.get(id)?.startedAtMs ?? -Infinity) > startedAtMs) {
+            const sameId = byId.get(id);
+            const successor = sameId !== undefined && sameId.entry.startedAtMs >= startedAtMs ? sameId : undefined;
+            if (successor?.entry.address === address && this.isLaterProcess(successor, startedAtMs)) {
                 this.targetEnded(tracked.listed);
                 continue;
             }
+            const moved = successor?.entry.address === address ? undefined : successor;
             const latest = latestAt.get(address);
-            const claimant = latest !== undefined && latest.entry.startedAtMs > startedAtMs ? latest : undefined;
+            const sharing = latest !== undefined && latest.entry.startedAtMs > startedAtMs && latest.entry.id !== id;
+            const claimant = moved ?? (sharing ? latest : undefined);
             if (claimant !== undefined && claimant !== tracked.claimant && !tracked.ended) {
                 void this.ask(tracked, claimant);
             }
@@ -386,9 +385,15 @@
         }
     }
 
+    /** Whether a target of this service started after a time. */
+    private isLaterProcess({ entry }: DirectoryTarget, startedAtMs: number): boolean {
+        return entry.service === this.options.service && entry.startedAtMs > startedAtMs;
+    }
+
     /**
-     * Renews the grants of an owner whose address the entry of another target names. Only an answer from there shows which of
-     * them has the address: a renewal is taken by the owner and rejected by any other target.
+     * Renews the grants of an owner whose address the entry of another target names, or for whose target an entry names another
+     * address. Only an answer from there shows whether the owner has ended: a renewal is taken by the owner and rejected by any
+     * other target.
      */
     private async ask(owner: TrackedTarget, claimant: DirectoryTarget): Promise<void> {
         owner.isAsked = true;
@@ -434,11 +439,17 @@
         return tracked;
     }
 
-    /** Tracks owners from an earlier assigner that have no entry; they may still answer at their recorded address. */
+    /**
+     * Tracks owners from an earlier assigner that have no entry; they may still answer at their recorded address. Their entries
+     * have time to return after an outage, unless another process is registered under their identifier.
+     */
     private trackOwnersWithoutEntry(now: number): void {
-        for (const { target: id, startedAtMs, address } of this.assignment.ranges) {
-            const identity = this.identity(id, startedAtMs);
-            if (id === "" || address === "" || this.tracked.has(identity)) {
+        const mayReturn = now - this.startedAt <= ENTRY_RETURN_MS;
+        const registered = new Set(mayReturn ? this.options.targets().map(({ entry }) => entry.id) : []);
+        for (const range of this.assignment.ranges) {
+            const { target: id, startedAtMs, address } = range;
+            const identity = ownerName(range);
+            if (id === "" || address === "" || this.tracked.has(identity) || (mayReturn && !registered.has(id))) {
                 continue;
             }
             const { service } = this.options;
@@ -538,6 +549,7 @@
         return {
             id: entry.id,
             startedAtMs: entry.startedAtMs,
+            address: entry.address,
             ...this.options.measure(tracked.listed),
             canReceive: (isListed && usable && isReached && !this.isClaiming(tracked)) || waitsForReturn,
             canRelease: usable && now - tracked.grants.answeredAt() < 2 * RENEWAL_MS,
@@ -568,13 +580,6 @@
         return holder !== undefined && this.mayRelease(holder, now);
     }
 
-    /** Whether the owner of a range has restarted since it was assigned the keys. */
-    private hasOwnerRestarted(range: KeyRange): boolean {
-        return [...this.tracked.values()].some(
-            ({ listed }) => listed.entry.id === range.target && listed.entry.startedAtMs > range.startedAtMs,
-        );
-    }
-
     private async move(move: KeyMove): Promise<void> {
         const { clock, lease, logger, service } = this.options;
         const receiver = this.receiverOf(move.target);
@@ -696,10 +701,7 @@
         if (this.ownerOf(range)?.ended === true) {
             return "process-ended";
         }
-        if (now >= this.inheritedUntil) {
-            return "inherited-expired";
-        }
-        return this.hasOwnerRestarted(range) ? "restarted" : undefined;
+        return now >= this.inheritedUntil ? "inherited-expired" : undefined;
     }
 
     /** Monotonic time in milliseconds at which the last known grant of the keys of a range expires. */
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -1,9 +1,12 @@
 import { KEY_COUNT, withoutRanges, type KeyRange } from "./keyMap.js";
+import { ownerName, processName } from "./processName.js";
 
 /** State of a target as input for the planner. */
 export interface PlannedTarget {
     id: string;
+    /** Two processes may have registered under one identifier; start time and address tell them apart. */
     startedAtMs: number;
+    address: string;
     /** Requests per second that it can serve, relative to the others; from its slots and measured speed. */
     capacity: number;
     /** Ratio of running and waiting requests to its slots, as last reported. */
@@ -321,18 +324,15 @@
         return [];
     }
     const rangesOf = new Map<string, KeyRange[]>();
-    ranges.forEach(range => rangesOf.set(range.target, [...(rangesOf.get(range.target) ?? []), range]));
+    ranges.forEach(range => rangesOf.set(ownerName(range), [...(rangesOf.get(ownerName(range)) ?? []), range]));
     const holdings: Holding[] = targets.map(target => ({
         target,
-        ranges: rangesOf.get(target.id) ?? [],
+        ranges: rangesOf.get(processName(target)) ?? [],
         load: 0,
         fairLoad: target.canReceive ? (loads.total * target.capacity) / capacity : 0,
     }));
-    const byTarget = new Map(holdings.map(holding => [holding.target.id, holding]));
-    const ownerOf = (range: KeyRange): Holding | undefined => {
-        const holding = byTarget.get(range.target);
-        return holding?.target.startedAtMs === range.startedAtMs ? holding : undefined;
-    };
+    const byProcess = new Map(holdings.map(holding => [processName(holding.target), holding]));
+    const ownerOf = (range: KeyRange): Holding | undefined => byProcess.get(ownerName(range));
     ranges.forEach(range => {
         const holding = ownerOf(range);
         if (holding !== undefined) {
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -35,12 +35,19 @@
 /** What is remembered of a start that has departed. */
 interface DepartedStart {
     startedAtMs: number;
+    address: string;
     draining: boolean;
     intake: TargetIntake;
     /** Whether another target has answered at its address, so that its process can't return. */
     hasLostAddress: boolean;
 }
 
+/** Whether two states of a target are of one process, which keeps its start time and its address. */
+const isSameProcess = (
+    first: Pick<TargetEntry, "startedAtMs" | "address">,
+    second: Pick<TargetEntry, "startedAtMs" | "address">,
+): boolean => first.startedAtMs === second.startedAtMs && first.address === second.address;
+
 /**
  * Whether a target's entry lets it get requests.
  *
@@ -187,15 +194,16 @@
         this.doubted.delete(written.id);
         const entry = { ...written, draining: written.draining || this.wasDraining(written) };
         const departed = this.departed.get(entry.id);
-        if (departed?.startedAtMs === entry.startedAtMs && departed.hasLostAddress) {
+        if (departed?.hasLostAddress === true && isSameProcess(departed, entry)) {
             return;
         }
         this.departed.delete(entry.id);
         const known = this.targets.get(entry.id);
-        if (known !== undefined && known.entry.startedAtMs !== entry.startedAtMs) {
+        if (known !== undefined && !isSameProcess(known.entry, entry)) {
             this.remove(entry.id);
         }
-        const intake = departed?.startedAtMs === entry.startedAtMs ? departed.intake : new TargetIntake();
+        const former = [departed, this.departed.get(entry.id)].find(start => start?.startedAtMs === entry.startedAtMs);
+        const intake = former?.intake ?? new TargetIntake();
         const target = this.targets.get(entry.id) ?? this.add(entry, intake);
         const wasUsable = target.usable;
         target.entry = entry;
@@ -301,9 +309,9 @@
     }
 
     private recordDeparture({ entry, intake }: DirectoryTarget, hasLostAddress: boolean): void {
-        const { id, startedAtMs, draining } = entry;
+        const { id, startedAtMs, address, draining } = entry;
         this.departed.delete(id);
-        this.departed.set(id, { startedAtMs, draining, intake, hasLostAddress });
+        this.departed.set(id, { startedAtMs, address, draining, intake, hasLostAddress });
         const [oldest] = this.departed.keys();
         if (this.departed.size > MAX_DEPARTED) {
             this.departed.delete(oldest);
