Wait for earlier leases when the first answer of the store is of a later era (OWNER)

What callers would see: two targets with the same keys for seconds, under lower tokens.

Cause: an instance whose settings say that the whole system starts for the first time took the lease and the assignment of the copy at once, also if the first answer of the store that it got came after a restore. Another instance that had acquired the first lease before the restore, carries it on and has granted keys.

Change: the setting excludes other leases only in era 0, in which the store was never restored.

--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -410,9 +410,9 @@
         }
         const isFirst = earlier === undefined;
         const isHeld = this.isHeld();
-        this.isFirstLease &&= isFirst;
-        // A store that was never restored has no earlier eras.
-        const hasEarlierLeases = era > 0 && !this.isFirstLease;
+        // Before the store was restored, another instance may have acquired the first lease, which the copy doesn't show.
+        const hasEarlierLeases = era > 0;
+        this.isFirstLease &&= !hasEarlierLeases;
         this.era = era;
         this.earlierErasEndAt = hasEarlierLeases ? clock.monotonicMs() + EXPIRY_MS : -Infinity;
         this.rowVersion = isFirst ? undefined : 0;
--- a/test/support/assigningInstances.ts
+++ b/test/support/assigningInstances.ts
@@ -62,8 +62,8 @@
         targets.forEach(id => this.entries.set(id, entryOf(id, 1)));
     }
 
-    /** Starts an instance. */
-    start(name: string): AssigningInstance {
+    /** Starts an instance; `isFirstStart` is its setting that the whole system starts for the first time. */
+    start(name: string, isFirstStart = false): AssigningInstance {
         const { clock } = this;
         const targets = new GatewayTargets({
             clock,
@@ -95,6 +95,7 @@
             leavingStated,
             admitter: new LimitAdmitter(clock),
             maxHoldMs: 10_000,
+            isFirstStart,
         });
         const leaving = new LeavingExchange({
             clock,
