Await all renewals of an owner before its keys are released (OWNER)

What callers would see: a target holds keys that another one has, until the end of a grant.

Cause: two entries that name an owner's address within one renewal have it asked twice at the same time. The second renewal replaced the first one in the record of what a release waits for, so that the first one could arrive after the release and give the keys back. Which of them ended first also counted as the end of both.

Change: the record ends with all renewals, and counts them.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -1,4 +1,27 @@
-import { startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
+import { AssigningInstances, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
+import type { GrantReply } from "../ownershipCalls.js";
+
+const pause = (system: AssigningInstances, durationMs: number): Promise<void> =>
+    new Promise(resolve => system.clock.setTimer(durationMs, resolve));
+
+const until = async (system: AssigningInstances, condition: () => boolean, stepMs = 50) => {
+    for (let elapsed = 0; !condition(); elapsed += stepMs) {
+        if (elapsed > 30_000) {
+            throw new Error("The condition wasn't reached.");
+        }
+        await system.advance(stepMs);
+    }
+};
+
+/** Replaces what becomes of grants to one target; `next` has it take the grant. */
+const onGrant = (
+    { calls }: AssigningInstances,
+    called: string,
+    handle: (next: () => Promise<GrantReply>) => Promise<GrantReply>,
+) => {
+    const grant = calls.grant.bind(calls);
+    calls.grant = (target, keys) => (target.id === called ? handle(() => grant(target, keys)) : grant(target, keys));
+};
 
 /** Guards against two holders of the lease: the setting says nothing of the eras before an instance's first answer. */
 describe("An instance of the first start whose first answer of the store comes after a restore", () => {
@@ -19,3 +42,40 @@
         system.dispose();
     });
 });
+
+/** Guards against a release that overtakes a renewal, which then gives the keys back to their former owner. */
+describe("An owner whose address two other entries name one after the other", () => {
+    it("isn't asked to release keys before all renewals of its grants have ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        system.calls.occupants.set("t1:80", "t1");
+        await system.advance(12_000);
+        let sent = 0;
+        let sentBefore = Infinity;
+        onGrant(system, "t1", async next => {
+            sent++;
+            if (sentBefore === Infinity) {
+                // The renewal that is under way when the entries are read is answered late.
+                const reply = await next();
+                await pause(system, 700);
+                return reply;
+            }
+            if (sent === sentBefore + 1) {
+                // The first renewal after it arrives late.
+                await pause(system, 700);
+            }
+            return next();
+        });
+        await until(system, () => sent > 0);
+        system.putTarget("x1", { service: "unnamed", address: "t1:80", startedAtMs: 2 });
+        await system.advance(300);
+        system.putTarget("x2", { service: "unnamed", address: "t1:80", startedAtMs: 3 });
+        await system.advance(300);
+        sentBefore = sent;
+        await until(system, () => sent > sentBefore);
+        system.putTarget("t1", { draining: true });
+        await system.advance(5_000);
+        expect(system.calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -60,9 +60,10 @@
     goneAt: number | undefined;
     /** Whether its process is known for certain to have ended. */
     ended: boolean;
-    /** Renewals in progress; a release waits for them, since a late renewal would undo it. */
+    /** Ends with all renewals in progress; a release waits for them, since a late renewal would undo it. */
     renewing: Promise<unknown>;
-    isRenewing: boolean;
+    /** Number of renewals in progress. */
+    renewals: number;
     /** The target that started later and whose entry names its address, if there is one. */
     claimant: DirectoryTarget | undefined;
     /** Whether it is being asked whether it still has its address. */
@@ -431,7 +432,7 @@
             goneAt: undefined,
             ended: false,
             renewing: Promise.resolve(),
-            isRenewing: false,
+            renewals: 0,
             claimant: undefined,
             isAsked: false,
         };
@@ -901,7 +902,7 @@
         for (const tracked of this.tracked.values()) {
             const isGone = tracked.goneAt !== undefined;
             const isRenewable = tracked.grants.isRenewable(now, isGone) || (isStranded && !isGone);
-            if (tracked.ended || !isRenewable || tracked.isRenewing) {
+            if (tracked.ended || !isRenewable || tracked.renewals > 0) {
                 continue;
             }
             void this.renew(tracked, owners.get(tracked));
@@ -912,12 +913,12 @@
     private renew(tracked: TrackedTarget, owned = this.owners().get(tracked)): Promise<boolean[]> {
         const moving = [...this.moving];
         const ranges = (owned ?? []).flatMap(range => withoutRanges(range, moving));
-        tracked.isRenewing = true;
-        const renewing = Promise.all(ranges.map(range => this.grant(tracked, range))).finally(() => {
-            tracked.isRenewing = false;
+        tracked.renewals++;
+        const renewal = Promise.all(ranges.map(range => this.grant(tracked, range))).finally(() => {
+            tracked.renewals--;
         });
-        tracked.renewing = renewing;
-        return renewing;
+        tracked.renewing = Promise.all([tracked.renewing, renewal]).then(() => undefined);
+        return renewal;
     }
 
     /** Whether no target can be reached, so that owners are granted their keys again after their grants have expired. */
