--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -79,3 +79,32 @@
         system.dispose();
     });
 });
+
+/** Guards against a hold that outlasts the record of it, because an earlier answer was repeated for a grant that was taken. */
+describe("A grant that was taken although its answer says that it was refused", () => {
+    it.each<[string, GrantReply]>([
+        ["outdated", { type: "outdated" }],
+        ["invalid", { type: "invalid", status: 400 }],
+    ])("is waited for before its keys are free (%s)", async (_, refusal) => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const { calls } = system;
+        let taken = 0;
+        onGrant(system, "t1", async next => {
+            taken++;
+            await next();
+            return refusal;
+        });
+        const release = calls.release.bind(calls);
+        calls.release = (target, keys) =>
+            target.id === "t1"
+                ? Promise.resolve({ type: "unanswered", detail: "connection reset" })
+                : release(target, keys);
+        await until(system, () => taken > 0);
+        system.putTarget("t1", { draining: true });
+        await system.advance(20_000);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
