Allow for the wait for a connection in the end of former holders' grants (OWNER)

What callers would see: after a drill with a restored store, two targets hold the same keys for up to 0.2 s, if the clocks of the former owners run slow and the new assigner doesn't reach them.

Cause: a grant may wait for a connection until its timeout, 800 ms after the lease was checked. The wait for the end of other instances' grants allowed 400 ms, for the way alone.

Change: the record of former holders' grants counts from the timeout of a call that was made as their lease ended.

Keys wait 0.8 s longer than before where only the end of former holders' grants frees them: 13.0 instead of 12.2 s after the first answer of a restored store.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -108,3 +108,50 @@
         system.dispose();
     });
 });
+
+/**
+ * Guards against a hold that outlasts the wait for the grants of other instances: a grant may wait for a connection until its
+ * timeout, after the lease was checked.
+ */
+describe("A grant that is sent after its sender's lease has ended", () => {
+    it.each([60, 90])("ends before the keys of a copy are granted (an answer late by %d ms)", async answerMs => {
+        const { system, copy } = await startWithMovedKeys("a1", "a2");
+        const { calls, store } = system;
+        const [first] = system.holders();
+        const [second] = system.instances.filter(instance => instance !== first);
+        const transact = store.transact.bind(store);
+        // One late answer shifts the writes of the lease, so that grants are renewed shortly before the lease ends.
+        let delayMs = answerMs;
+        store.transact = async transaction => {
+            const outcome = await transact(transaction);
+            const lateMs = delayMs;
+            delayMs = 0;
+            await pause(system, lateMs);
+            return outcome;
+        };
+        await system.advance(1_500);
+        store.transact = transact;
+        await system.advance(4_000);
+        const grant = calls.grant.bind(calls);
+        let waitMs = 795;
+        calls.grant = async (target, keys) => {
+            if (waitMs > 0) {
+                await pause(system, waitMs);
+            }
+            // The targets' clocks run 2% slow.
+            return grant(target, { ...keys, holdMs: keys.holdMs * 1.02 });
+        };
+        const before = store.calls.transact;
+        await until(system, () => store.calls.transact > before, 5);
+        first.isCut = true;
+        store.restore(copy);
+        second.assigners.lease.storeRestored(1);
+        await until(system, () => system.holders().includes(second), 5);
+        await system.advance(1_000);
+        waitMs = 0;
+        const end = system.clock.monotonicMs() + 9_000;
+        await until(system, () => system.clock.monotonicMs() >= end, 5);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -172,7 +172,7 @@
      * none, as at the first start.
      */
     otherGrantsEndAt(holdMs: number): number {
-        return new GrantRecord(this.othersEndedAt, holdMs).endsAt();
+        return GrantRecord.ofFormerHolders(this.othersEndedAt, holdMs).endsAt();
     }
 
     start(): void {
--- a/src/process/gateway/grantRecord.ts
+++ b/src/process/gateway/grantRecord.ts
@@ -3,6 +3,11 @@
  * outages.
  */
 export const DEFAULT_HOLD_MS = 8_000;
+/**
+ * Time after which a grant counts as unanswered, in milliseconds. It may wait as long for a connection, so it may be sent that
+ * long after the lease was checked.
+ */
+export const GRANT_TIMEOUT_MS = 800;
 /** Allowed relative drift of a target's clock: how much slower than this process's it may run. */
 const TARGET_CLOCK_DRIFT = 0.02;
 /** Time for which an unresponsive target isn't assigned further keys, in milliseconds. */
@@ -31,6 +36,15 @@
         this.lastArrivalAt = since;
     }
 
+    /**
+     * The record of grants of former holders of the lease, which had ended by `endedAt`.
+     *
+     * @param endedAt monotonic time in milliseconds
+     */
+    static ofFormerHolders(endedAt: number, holdMs: number): GrantRecord {
+        return new GrantRecord(endedAt + GRANT_TIMEOUT_MS, holdMs);
+    }
+
     /** The record of a new process at the same address, which the grants so far may have reached. */
     forNewProcess(): GrantRecord {
         return new GrantRecord(this.lastArrivalAt, this.holdMs);
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { LeaseProof } from "./assignerLease.js";
 import { eraOfToken, nextToken } from "./fencingTokens.js";
-import { DEFAULT_HOLD_MS, GrantRecord } from "./grantRecord.js";
+import { DEFAULT_HOLD_MS, GRANT_TIMEOUT_MS, GrantRecord } from "./grantRecord.js";
 import {
     decodeAssignment,
     emptyAssignment,
@@ -30,8 +30,6 @@
 const PLAN_PERIOD_MS = 200;
 /** Interval at which grants are renewed, in milliseconds. */
 const RENEWAL_MS = 1_200;
-/** Time after which a call to a target counts as unanswered, in milliseconds. */
-const GRANT_TIMEOUT_MS = 800;
 /** Timeout of a release in milliseconds; the target answers it only when all running work on the keys has ended. */
 const RELEASE_TIMEOUT_MS = 3_000;
 /** Pause before an unanswered call or transaction is retried, in milliseconds. */
@@ -161,7 +159,7 @@
         }
         this.isLoaded = true;
         const { clock, holdMs = DEFAULT_HOLD_MS } = this.options;
-        this.inheritedUntil = new GrantRecord(clock.monotonicMs(), holdMs).endsAt();
+        this.inheritedUntil = GrantRecord.ofFormerHolders(clock.monotonicMs(), holdMs).endsAt();
         this.renewAll();
         this.disposables.add(repeat(this.options.clock, PLAN_PERIOD_MS, () => this.plan()));
         this.disposables.add(repeat(this.options.clock, RENEWAL_MS, () => this.renewAll()));
@@ -419,7 +417,7 @@
         const earlier = [...this.tracked.values()]
             .filter(({ listed: { entry } }) => entry.id === id && entry.address === address)
             .at(-1);
-        const grants = earlier?.grants.forNewProcess() ?? new GrantRecord(now, holdMs);
+        const grants = earlier?.grants.forNewProcess() ?? GrantRecord.ofFormerHolders(now, holdMs);
         const late = earlier?.late ?? new LateGrants(grants.endsAt() - now);
         if (earlier === undefined) {
             // An earlier assigner may have sent grants that are still in transit and that this one knows nothing about.
