--- a/test/support/manualClock.ts
+++ b/test/support/manualClock.ts
@@ -39,15 +39,21 @@
     /** Advances both clocks and fires the timers that become due. */
     advance(byMs: number): void {
         const end = this.now + byMs;
-        for (;;) {
-            const due = this.timers.filter(timer => timer.at <= end).sort((a, b) => a.at - b.at)[0];
-            if (due === undefined) {
-                break;
-            }
-            this.timers = this.timers.filter(timer => timer !== due);
-            this.now = Math.max(this.now, due.at);
-            due.callback();
+        while (this.fireNext(end)) {
+            // All timers up to the end fire.
         }
         this.now = end;
     }
+
+    /** Advances both clocks to the next timer that is due by `end` and fires it alone; `false` if there is none. */
+    fireNext(end: number): boolean {
+        const due = this.timers.filter(timer => timer.at <= end).sort((a, b) => a.at - b.at)[0];
+        if (due === undefined) {
+            return false;
+        }
+        this.timers = this.timers.filter(timer => timer !== due);
+        this.now = Math.max(this.now, due.at);
+        due.callback();
+        return true;
+    }
 }
