Show keys freed by a late entry of a restarted target, and an assigner that never begins

Keys of an owner count as free at once when the entry of a later process under its identifier names another address, although yet another process at the owner's address may have got the renewals. And an assigner whose lease ends while it writes the assignment of a copy again never plans.

--- a/src/process/gateway/__tests__/ownerReplay.test.ts
+++ b/src/process/gateway/__tests__/ownerReplay.test.ts
@@ -1,9 +1,11 @@
 import { jest } from "@jest/globals";
+import { err } from "neverthrow";
 import { applyFault, plannedFaults, type PlannedFault } from "../../../../test/support/ownerFaults.js";
 import { OwnedService } from "../../../../test/support/ownedService.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import type { LogFields, Logger } from "../../observability/logger.js";
+import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
 import { KEY_COUNT } from "../keyMap.js";
 
 /** Time in which faults begin, and the calm time after it, in milliseconds. */
@@ -103,3 +105,81 @@
         }
     });
 });
+
+/** Four targets and an instance that has assigned their keys. */
+const startedService = async (): Promise<OwnedService> => {
+    const service: OwnedService = new OwnedService(1, name => tracingLogger(() => service, name));
+    service.startInstance("a1");
+    ["t1", "t2", "t3", "t4"].forEach(id => service.startTarget(id, `${id}:80`));
+    await service.advance(8_000);
+    service.copy();
+    expect(service.targets.heldKeys()).toBe(KEY_COUNT);
+    return service;
+};
+
+const until = async (service: OwnedService, condition: () => boolean): Promise<void> => {
+    for (let elapsed = 0; !condition(); elapsed += 5) {
+        if (elapsed > 30_000) {
+            throw new Error(`The condition wasn't reached.\n${service.targets.trace.slice(-40).join("\n")}`);
+        }
+        await service.advance(5);
+    }
+};
+
+describe("A target that restarts at another address and then at its first one again", () => {
+    /** Guards against keys that count as free although a later process of their owner has got renewals at its address. */
+    it("keeps the keys that its third process was granted before the second one's entry was read", async () => {
+        const service = await startedService();
+        const [instance] = service.instances;
+        const [first] = [...service.targets.living].filter(({ id }) => id === "t1");
+        // This instance reads entries late, as when its own calls to the store are slow.
+        instance.entryDelayMs = 1e9;
+        service.targets.end(first);
+        const second = service.startTarget("t1", "t1-moved:80");
+        await service.advance(1_500);
+        service.leave("t1", true);
+        await service.advance(300);
+        const entry = service.entryOf("t1");
+        expect(entry).toMatchObject({ address: "t1-moved:80", draining: true });
+        service.targets.end(second);
+        const third = service.startTarget("t1", "t1:80");
+        await until(service, () => third.held.length > 0);
+        expect(instance.assigners.lease.isHeld()).toBe(true);
+        if (entry !== undefined) {
+            instance.targets.directory.put(entry);
+        }
+        await service.advance(10_000);
+        expect(service.targets.violations).toEqual([]);
+        service.dispose();
+    });
+});
+
+describe("An assigner that loses the lease while it writes the assignment of a copy again", () => {
+    /** Guards against an assigner that waits for good for the outcome of a write before it has begun to plan. */
+    it("assigns keys once it holds the lease again", async () => {
+        const service = await startedService();
+        const [holder] = service.instances;
+        const next = service.startInstance("a2");
+        await service.advance(1_000);
+        service.killInstance(holder);
+        service.restore(() => 0);
+        // The copy's assignment is written again when all grants of the killed instance have ended.
+        const transact = service.store.transact.bind(service.store);
+        let isLost = true;
+        service.store.transact = transaction =>
+            isLost && transaction.puts.some(({ table }) => table === ASSIGNMENT_TABLE)
+                ? Promise.resolve(err({ type: "platform-unavailable", detail: "refused" }))
+                : transact(transaction);
+        await until(service, () => service.targets.trace.some(line => line.includes("may be out of date")));
+        await service.advance(9_500);
+        service.cutFromStore(next, true);
+        await until(service, () => !next.assigners.lease.isHeld());
+        await service.advance(1_000);
+        isLost = false;
+        service.cutFromStore(next, false);
+        await service.advance(25_000);
+        expect(next.assigners.lease.isHeld()).toBe(true);
+        expect(service.targets.heldKeys()).toBe(KEY_COUNT);
+        service.dispose();
+    });
+});
--- a/test/support/ownedService.ts
+++ b/test/support/ownedService.ts
@@ -177,6 +177,11 @@
         return process;
     }
 
+    /** The entry of a target in the store. */
+    entryOf(id: string): TargetEntry | undefined {
+        return this.entries.get(id);
+    }
+
     /** Reports to the store that a target leaves, or removes its entry without a report. */
     leave(id: string, isReported: boolean): void {
         const registration = this.registrations.get(id);
