Let an assigner begin after a write of unknown outcome in its first attempt

What callers would see: after a drill, no key of a service has an owner for good, until the lease changes its holder.

Cause: an assigner whose lease ends while it writes the assignment of a copy again marks the row as uncertain. Only a reading after it has begun to plan unset the mark, and it never began to plan.

Change: each attempt to take over reads the row, which settles the outcome of an earlier write.

--- a/src/process/gateway/__tests__/ownerReplay.test.ts
+++ b/src/process/gateway/__tests__/ownerReplay.test.ts
@@ -165,13 +165,16 @@
         service.restore(() => 0);
         // The copy's assignment is written again when all grants of the killed instance have ended.
         const transact = service.store.transact.bind(service.store);
+        let refused = 0;
         let isLost = true;
-        service.store.transact = transaction =>
-            isLost && transaction.puts.some(({ table }) => table === ASSIGNMENT_TABLE)
-                ? Promise.resolve(err({ type: "platform-unavailable", detail: "refused" }))
-                : transact(transaction);
-        await until(service, () => service.targets.trace.some(line => line.includes("may be out of date")));
-        await service.advance(9_500);
+        service.store.transact = transaction => {
+            if (!isLost || transaction.puts.every(({ table }) => table !== ASSIGNMENT_TABLE)) {
+                return transact(transaction);
+            }
+            refused++;
+            return Promise.resolve(err({ type: "platform-unavailable", detail: "refused" }));
+        };
+        await until(service, () => refused > 0);
         service.cutFromStore(next, true);
         await until(service, () => !next.assigners.lease.isHeld());
         await service.advance(1_000);
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -248,6 +248,8 @@
         if (!(await this.load())) {
             return false;
         }
+        // An earlier attempt may have ended with a write of unknown outcome.
+        this.isUncertain = false;
         if (eraOfToken(this.assignment.fence) >= this.era) {
             return true;
         }
