Let a target have keys again whose process counted as ended by mistake

What callers would see: a target without keys for good, so that the others carry its load.

Cause: an entry of another writer with a later start at the owner's own address marks its process as ended. When the true entry was back before its keys had moved, the mark stayed: the target was neither renewed nor given keys.

Change: a process that is listed again hasn't ended.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -323,6 +323,20 @@
         system.dispose();
     });
 
+    it.each([100, 200, 250])("doesn't keep its process from getting keys (written for %d ms)", async writtenForMs => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.putTarget("t1", { startedAtMs: 2 });
+        await system.advance(writtenForMs);
+        system.putTarget("t1", { startedAtMs: 1 });
+        await system.advance(60_000);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges).toContainEqual(expect.objectContaining({ target: "t1", startedAtMs: 1 }));
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+
     it("gives its keys no second owner at the next assigner, which has read no earlier entry", async () => {
         const system = new AssigningInstances(["t1", "t2", "t3"]);
         const first = system.start("a1");
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -339,6 +339,8 @@
             } else {
                 tracked.listed = target;
                 tracked.goneAt = undefined;
+                // The entry of a later start was that of another writer.
+                tracked.ended = false;
             }
         }
         this.trackOwnersWithoutEntry(now);
