Count the hold of a range from the grants to each process of its owner (OWNER)

What callers would see: two targets with the same keys for some seconds.

Cause: if a target starts three times at its address and its answers are lost, the record of the third process was copied from the process that was tracked last, which needn't be the latest, and a move went on raising tokens at the process that it began with. Calls had reached the later process, and their hold wasn't counted.

Change: a range's hold ends with the last grant to any process of its owner's identifier and address. A move looks up the holder in each round.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -168,3 +168,31 @@
         system.dispose();
     });
 });
+
+/** Guards against a hold that is counted from the grants to one process, although calls have reached a later one. */
+describe("A target that restarts twice at its address while its answers are lost", () => {
+    it("is waited for until the grants to each of its processes have ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        const first = system.start("a1");
+        await system.advance(12_000);
+        const release = first.assigners.release();
+        await system.advance(50);
+        await release;
+        first.dispose();
+        system.putTarget("t1", { startedAtMs: 6 });
+        const { calls } = system;
+        const { grant, release: releaseKeys } = { grant: calls.grant.bind(calls), release: calls.release.bind(calls) };
+        calls.grant = async (target, keys) => {
+            const reply = await grant(target, keys);
+            return target.id === "t1" ? { type: "unanswered", detail: "lost" } : reply;
+        };
+        calls.release = async (target, keys) =>
+            target.id === "t1" ? { type: "unanswered", detail: "lost" } : releaseKeys(target, keys);
+        system.start("a2");
+        await system.advance(6_000);
+        system.putTarget("t1", { startedAtMs: 11 });
+        await system.advance(14_000);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -419,10 +419,8 @@
     private track(identity: string, listed: DirectoryTarget, now: number): TrackedTarget {
         const { holdMs = DEFAULT_HOLD_MS } = this.options;
         const { id, address } = listed.entry;
-        // The latest start, as the record of each one includes that of the starts before it.
-        const earlier = [...this.tracked.values()]
-            .filter(({ listed: { entry } }) => entry.id === id && entry.address === address)
-            .at(-1);
+        // The record that ends last covers those of all processes at the address.
+        const [earlier] = this.processesAt(id, address).sort((a, b) => b.grants.endsAt() - a.grants.endsAt());
         const grants = earlier?.grants.forNewProcess() ?? GrantRecord.ofFormerHolders(now, holdMs);
         const late = earlier?.late ?? new LateGrants(grants.endsAt() - now);
         if (earlier === undefined) {
@@ -645,12 +643,17 @@
         to: number,
     ): Promise<{ handover: string | undefined; proof: EndOfHold } | undefined> {
         const { calls, clock, lease } = this.options;
-        const owner = this.holderOf(range);
+        let owner = this.holderOf(range);
         let { fence } = range;
         // The highest token that the owner is known to have seen for these keys.
         let seenFence = fence;
         await this.ownerOf(range)?.renewing;
         for (;;) {
+            const holder = this.holderOf(range);
+            if (holder !== owner) {
+                owner = holder;
+                seenFence = range.fence;
+            }
             if (this.disposed || this.isUncertain || !lease.isHeld()) {
                 return undefined;
             }
@@ -717,9 +720,15 @@
     }
 
     /** Monotonic time in milliseconds at which the last known grant of the keys of a range expires. */
-    private holdEndsAt(range: KeyRange): number {
-        const ends = [this.holderOf(range), this.ownerOf(range)].map(tracked => tracked?.grants.endsAt() ?? -Infinity);
-        return Math.max(...ends);
+    private holdEndsAt({ target, address }: KeyRange): number {
+        return Math.max(-Infinity, ...this.processesAt(target, address).map(({ grants }) => grants.endsAt()));
+    }
+
+    /** Processes under one identifier at one address. Calls meant for one of them may have reached another. */
+    private processesAt(id: string, address: string): TrackedTarget[] {
+        return [...this.tracked.values()].filter(
+            ({ listed: { entry } }) => entry.id === id && entry.address === address,
+        );
     }
 
     /** Time in milliseconds until the former grants of a range expire, negative if they have; `undefined` if none are known. */
