Don't raise tokens at an owner that has been silent for the time of a grant

What callers would see: no answer for the keys of a draining target that can't be reached, for as long as its entry is there.

Cause: a move of its keys grants them to it under a higher token every 165 ms, so that late grants become harmless. Each unanswered grant put off the end of its grants, so that its keys became free by neither way (179 transactions in 30 s).

Change: like renewals, these grants end when the last answer is older than a grant. Then the end of the grants is awaited.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -196,3 +196,20 @@
         system.dispose();
     });
 });
+
+/** Guards against keys that an unreachable owner keeps, because each call to it puts off the end of its grants. */
+describe("A draining owner that answers nothing", () => {
+    it("loses its keys once its grants have ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.calls.silent.add("t1:80");
+        await system.advance(1_500);
+        system.putTarget("t1", { draining: true });
+        await system.advance(30_000);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges.map(({ target }) => target)).not.toContain("t1");
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -665,6 +665,11 @@
                 return undefined;
             }
             if (owner.late.mayTakeEffect({ from, to, fence: seenFence }, clock.monotonicMs())) {
+                if (!owner.grants.isRenewable(clock.monotonicMs(), false)) {
+                    // Each unanswered call would put off the end of the grants.
+                    await this.pause(REPEAT_PAUSE_MS);
+                    continue;
+                }
                 const raised = await this.raiseFence(owner, { ...range, from, to, handover: undefined });
                 if (raised === undefined) {
                     return undefined;
