--- a/test/support/freezableClock.ts
+++ b/test/support/freezableClock.ts
@@ -50,7 +50,9 @@
     }
 
     setTimer(delayMs: number, callback: () => void): () => void {
-        const at = this.monotonicMs() + delayMs;
+        // A shorter delay could leave the time as it is, and a caller that sets such timers again would never end.
+        const delay = delayMs > 0 ? Math.max(delayMs, 2 * ROUNDING_MS) : 0;
+        const at = this.monotonicMs() + delay;
         let isCancelled = false;
         const fire = () => {
             if (isCancelled) {
@@ -64,7 +66,7 @@
                 callback();
             }
         };
-        this.shared.setTimer(Math.max(delayMs, 0), () => this.deliver(fire));
+        this.shared.setTimer(delay, () => this.deliver(fire));
         return () => {
             isCancelled = true;
         };
