--- a/src/process/gateway/__tests__/ownerReplay.test.ts
+++ b/src/process/gateway/__tests__/ownerReplay.test.ts
@@ -38,7 +38,7 @@
     jest.spyOn(Math, "random").mockImplementation(seededRandom(seed));
     const service: OwnedService = new OwnedService(seed, instance => tracingLogger(() => service, instance));
     const { clock, targets } = service;
-    targets.isEachStartAnother = process.env.REPLAY_EACH_START !== undefined;
+    targets.isEachStartAnother = process.env.OWNER_EACH_START !== undefined;
     ["a1", "a2", "a3"].slice(0, 2 + (seed % 2)).forEach(name => service.startInstance(name));
     ["t1", "t2", "t3", "t4"].forEach(id => service.startTarget(id, `${id}:80`));
     // One target stays sound, so that all keys can be held at the end.
@@ -78,7 +78,8 @@
 /**
  * `OWNER_FIRST` and `OWNER_SEEDS` choose the seeds of a long run by hand, `OWNER_MINIMISE` leaves out faults that a violation
  * doesn't need, `OWNER_FAULTS` plays only those with these numbers,
- * and `OWNER_KINDS` names the frequent kinds.
+ * `OWNER_KINDS` names the frequent kinds, and with `OWNER_EACH_START` a process that restarts under its identifier needs tokens above
+ * those of its former one.
  */
 const FIRST = Number(process.env.OWNER_FIRST ?? 1);
 const SEEDS = Array.from({ length: Number(process.env.OWNER_SEEDS ?? 24) }, (_, index) => FIRST + index);
