--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -62,9 +62,9 @@
     renewing: Promise<unknown>;
     /** Number of renewals in progress. */
     renewals: number;
-    /** The target that started later and whose entry names its address, if there is one. */
+    /** The target whose entry names its address and a later start, or its identifier and another address, if there is one. */
     claimant: DirectoryTarget | undefined;
-    /** Whether it is being asked whether it still has its address. */
+    /** Whether it is being asked whether it is still up at its address. */
     isAsked: boolean;
 }
 
@@ -177,12 +177,12 @@
         await Promise.all(this.grantsUnderWay);
     }
 
-    /** Records that a target's process has ended: another one listens at its address, or it has restarted. */
+    /** Records that a target's process has ended: another target listens at its address, or it has restarted there. */
     targetEnded(listed: DirectoryTarget): void {
         const tracked = this.tracked.get(processName(listed.entry));
         if (tracked !== undefined && !tracked.ended) {
             tracked.ended = true;
-            this.options.logger.info(`Target ${listed.entry.id} has ended; its keys are free.`);
+            this.options.logger.info(`The process of target ${listed.entry.id} counts as ended.`);
         }
     }
 
