--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -17,9 +17,9 @@
     type KeyRange,
 } from "./keyMap.js";
 import { LateGrants } from "./lateGrants.js";
-import { ownerName, processName } from "./processName.js";
 import type { CallStatement, GrantReply, OwnershipCalls } from "./ownershipCalls.js";
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
+import { ownerName, processName } from "./processName.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 import { TargetIntake } from "./targetIntake.js";
