--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -13,7 +13,7 @@
     }
 };
 
-/** Replaces what becomes of grants to one target; `next` has it take the grant. */
+/** Has a function answer the grants to one target; `next` passes the grant on to it. */
 const onGrant = (
     { calls }: AssigningInstances,
     called: string,
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -155,8 +155,11 @@
  * @example
  * withoutRanges({ ...range, from: 0, to: 9 }, [{ from: 3, to: 4 }]); // 0 to 2 and 5 to 9
  */
-export const withoutRanges = (range: KeyRange, excluded: readonly { from: number; to: number }[]): KeyRange[] =>
-    excluded.reduce(
+export const withoutRanges = <Range extends { from: number; to: number }>(
+    range: Range,
+    excluded: readonly { from: number; to: number }[],
+): Range[] =>
+    excluded.reduce<Range[]>(
         (pieces, other) =>
             pieces.flatMap(piece =>
                 overlaps(piece, other)
--- a/test/support/ownerFaults.ts
+++ b/test/support/ownerFaults.ts
@@ -361,7 +361,7 @@
 
 /**
  * The faults and the planned work of a replay: some kinds of faults often, since those of one cause mostly need two or three
- * kinds together. `chosen` names the frequent kinds.
+ * kinds together. `chosen` gives the frequent kinds.
  *
  * @example
  * plannedFaults(7, 60_000).forEach(fault => clock.setTimer(fault.atMs, () => applyFault(fault, service)));
--- a/test/support/workingTargets.ts
+++ b/test/support/workingTargets.ts
@@ -1,4 +1,4 @@
-import { overlaps } from "../../src/process/gateway/keyMap.js";
+import { overlaps, withoutRanges } from "../../src/process/gateway/keyMap.js";
 import type { GrantedKeys, GrantReply, ReleaseReply } from "../../src/process/gateway/ownershipCalls.js";
 import type { ManualClock } from "./manualClock.js";
 
@@ -61,21 +61,6 @@
 /** Maximum delay with which an unanswered grant is taken, in milliseconds. */
 const MAX_LATE_MS = 6_000;
 
-/** The parts of `keys` that none of the others covers. */
-const without = <Piece extends Keys>(keys: Piece, others: readonly Keys[]): Piece[] =>
-    others.reduce<Piece[]>(
-        (pieces, other) =>
-            pieces.flatMap(piece =>
-                overlaps(piece, other)
-                    ? [
-                          { ...piece, to: Math.min(piece.to, other.from - 1) },
-                          { ...piece, from: Math.max(piece.from, other.to + 1) },
-                      ].filter(({ from, to }) => from <= to)
-                    : [piece],
-            ),
-        [keys],
-    );
-
 /**
  * Stand-in for targets that own keys, with requests that run on them. It checks what the rule OWNER asks for: one living owner,
  * tokens above those of other targets, and no keys at which another target is still at work.
@@ -219,7 +204,7 @@
                 process.work.push({ from: key, to: key, endsAt });
             }
         }
-        process.held = process.held.flatMap(held => without(held, [keys]));
+        process.held = process.held.flatMap(held => withoutRanges(held, [keys]));
         process.work = process.work.filter(({ endsAt }) => endsAt > now);
         return Math.max(now, ...process.work.filter(work => overlaps(work, keys)).map(({ endsAt }) => endsAt));
     }
@@ -241,8 +226,8 @@
             }
             // A late renewal doesn't shorten the hold.
             const longer = process.held.filter(held => held.fence === fence && held.until > until);
-            const added = without({ from, to, fence, until, isHeldUp }, longer);
-            process.held = [...process.held.flatMap(held => without(held, added)), ...added];
+            const added = withoutRanges({ from, to, fence, until, isHeldUp }, longer);
+            process.held = [...process.held.flatMap(held => withoutRanges(held, added)), ...added];
         }
         if (!process.seen.some(seen => seen.fence === fence && seen.from <= from && seen.to >= to)) {
             process.seen = [...process.seen, { from, to, fence }];
@@ -253,7 +238,7 @@
     /** Whether a process has taken all of these keys under the same token before. */
     private hadGrant(process: TargetProcess, { from, to, fence }: GrantedKeys): boolean {
         const same = this.taken.filter(taken => taken.process === process && taken.fence === fence);
-        return without({ from, to }, same).length === 0;
+        return withoutRanges({ from, to }, same).length === 0;
     }
 
     private check(process: TargetProcess, grant: Grant, isLate: boolean): void {
@@ -276,7 +261,7 @@
                 list.push(`at ${now} ${taker}, ${this.name(other)} works on ${work.from} for ${leftMs} ms more`);
             }
         }
-        const fresh = without(
+        const fresh = withoutRanges(
             { from: grant.from, to: grant.to },
             this.taken.filter(taken => taken.process === process && taken.fence === grant.fence),
         );
