Answer a held call without a wait at once in the stand-in of the store

Cause: the stand-in held a call with a wait of 0 ms with a real timer, which takes a millisecond or more, while the test passes virtual time in steps of 50 ms with four turns of the event loop each. The faster the machine, the more virtual time passes during a call: the source's state gets older than the relay allows, so an instance reads the store itself, and a call that began before the cut still answers when the test expects the failure.

The call is now answered in the next turn of the event loop, whatever the speed of the machine. No check is changed.

--- a/test/support/memoryRowStore.ts
+++ b/test/support/memoryRowStore.ts
@@ -122,6 +122,10 @@
     }
 
     private waitForChange(waitMs: number, signal: AbortSignal | undefined): Promise<void> {
+        if (waitMs <= 0) {
+            // A timer takes a millisecond or more of real time, in which a manual clock may pass any time.
+            return new Promise(resolve => setImmediate(resolve));
+        }
         return new Promise(resolve => {
             const wake = () => {
                 clearTimeout(timer);
