Keep the timeout of a call that can also be ended by a signal

Callers saw instances that acted on an old state for as long as a read of the store hung: such a call has no other end.

Cause: the timeout of a call was an AbortSignal to which only AbortSignal.any referred once the calling function was suspended. Node.js 20 keeps such a source weakly: once `call` had been compiled by the optimizing compiler, a garbage collection dropped the signal and its timer. Reads of changes of the store pass a signal of their own, so they are concerned; grants, releases and transactions pass none, and their timeouts fired.

Evidence: a script that holds eight calls after 600, 1,000 and 2,000 answered ones and collects garbage had 8 of 8 pending after 5 s with a timeout of 0.9 s; after 0 and 100 answered ones they timed out.

The timeout is now a timer, which Node.js keeps until it fires, and which aborts the one signal of the call. Looked for elsewhere: other calls in src/ pass AbortSignal.timeout directly, for which a listener keeps the signal; the same script shows it. test/support/requestClient.ts has the same form and isn't changed.

Before, the case with a signal of httpCalls.test.ts failed: its four calls were pending after 5 s. The next ones then waited for connections.

--- /dev/null
+++ b/src/connection/__tests__/httpCalls.test.ts
@@ -0,0 +1,68 @@
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { pause } from "../../../test/support/waitFor.js";
+import { call, createCallPool } from "../httpCalls.js";
+
+const TIMEOUT_MS = 300;
+/** Time after which a call counts as one without a timeout, in milliseconds. */
+const PATIENCE_MS = 5_000;
+/** Number of calls after which the function has been compiled by the optimizing compiler. */
+const CALLS_UNTIL_OPTIMIZED = 3_000;
+
+const collectGarbage = (): void => {
+    setFlagsFromString("--expose-gc");
+    (runInNewContext("gc") as () => void)();
+};
+
+describe("call", () => {
+    const held: ServerResponse[] = [];
+    let isAnswering = true;
+    const server = createServer((_, response) => (isAnswering ? response.end("x") : held.push(response)));
+    let pool: ReturnType<typeof createCallPool>;
+
+    beforeAll(async () => {
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        pool = createCallPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, 4);
+    });
+    beforeEach(() => {
+        isAnswering = true;
+    });
+    afterAll(async () => {
+        await pool.destroy();
+        server.closeAllConnections();
+        await new Promise(resolve => server.close(resolve));
+    });
+
+    const ask = (signal?: AbortSignal) => call(pool, { method: "GET", path: "/", signal }, TIMEOUT_MS);
+
+    // A held read of the store had no timeout after a garbage collection, so a follower never called the store again.
+    it.each([[true], [false]])(
+        "guards against a call without an answer that outlasts its timeout after a garbage collection (signal: %s)",
+        async hasSignal => {
+            const signal = () => (hasSignal ? new AbortController().signal : undefined);
+            for (let count = 0; count < CALLS_UNTIL_OPTIMIZED; count++) {
+                await ask(signal());
+            }
+            isAnswering = false;
+            const calls = Promise.all(Array.from({ length: 4 }, () => ask(signal())));
+            for (let round = 0; round < 5; round++) {
+                await pause(TIMEOUT_MS / 10);
+                collectGarbage();
+            }
+            const results = await Promise.race([calls, pause(PATIENCE_MS)]);
+            expect(results).toEqual(Array(4).fill({ type: "unanswered", detail: "The call has timed out." }));
+        },
+        60_000,
+    );
+
+    it("guards against a call that goes on after its signal was aborted", async () => {
+        isAnswering = false;
+        const controller = new AbortController();
+        const result = ask(controller.signal);
+        controller.abort(new Error("restored"));
+        expect(await result).toEqual({ type: "unanswered", detail: "restored" });
+        expect(await ask(controller.signal)).toEqual({ type: "unanswered", detail: "restored" });
+    });
+});
--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -32,6 +32,8 @@
 /** Maximum size of a response, in bytes. The store limits a page of rows to 1 MB. */
 const MAX_RESPONSE_BYTES = 8_388_608;
 
+const TIMEOUT_TEXT = "The call has timed out.";
+
 const originOf = (address: string): string => `http://${address}`;
 
 /** Whether calls can be made to an address; `createCallPool` throws for others. */
@@ -57,15 +59,22 @@
  * const result = await call(pool, { method: "POST", path: "/grant", body: "{}" }, 800);
  */
 export const call = async (pool: Pool, request: CallRequest, timeoutMs: number): Promise<CallResult> => {
-    const timeout = AbortSignal.timeout(timeoutMs);
+    // Node.js 20 may drop a timeout signal that only `AbortSignal.any` refers to, and the call would never end.
+    const controller = new AbortController();
+    const abort = () => controller.abort(request.signal?.reason);
+    const timer = setTimeout(() => controller.abort(new Error(TIMEOUT_TEXT)), timeoutMs);
+    request.signal?.addEventListener("abort", abort);
     try {
+        if (request.signal?.aborted === true) {
+            abort();
+        }
         const response = await pool.request({
             method: request.method,
             path: request.path,
             ...(request.body === undefined
                 ? {}
                 : { body: request.body, headers: { "content-type": "application/json", ...request.headers } }),
-            signal: request.signal === undefined ? timeout : AbortSignal.any([timeout, request.signal]),
+            signal: controller.signal,
         });
         const body = Buffer.from(await response.body.arrayBuffer());
         return { type: "response", status: response.statusCode, headers: response.headers, body };
@@ -73,6 +82,9 @@
         const code = typeof error === "object" && error !== null && "code" in error ? error.code : undefined;
         const detail = error instanceof Error ? error.message : String(error);
         return { type: code === "ECONNREFUSED" ? "refused" : "unanswered", detail };
+    } finally {
+        clearTimeout(timer);
+        request.signal?.removeEventListener("abort", abort);
     }
 };
 
