--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -4,6 +4,7 @@
 import type { LeaseProof } from "./assignerLease.js";
 import { eraOfToken, nextToken } from "./fencingTokens.js";
 import { DEFAULT_HOLD_MS, GRANT_TIMEOUT_MS, GrantRecord } from "./grantRecord.js";
+import { hasSettled } from "./hasSettled.js";
 import {
     decodeAssignment,
     emptyAssignment,
@@ -34,10 +35,6 @@
 const RELEASE_TIMEOUT_MS = 3_000;
 /** Pause before an unanswered call or transaction is retried, in milliseconds. */
 const REPEAT_PAUSE_MS = 150;
-/** Time without a new target before keys are assigned for the first time, in milliseconds. */
-const SETTLING_MS = 1_000;
-/** Minimum time from the first target to the first assignment, in which other targets can register, in milliseconds. */
-const FIRST_ASSIGNMENT_MS = 2_500;
 /** Time for which a transaction waits for further changes, in milliseconds, because each transaction wakes all instances. */
 const COMMIT_LINGER_MS = 15;
 /** Time within which entries that expired during a store outage are registered again, in milliseconds. */
@@ -475,7 +472,7 @@
         }
         this.observe();
         const now = this.options.clock.monotonicMs();
-        if (this.assignment.fence === 0 && !this.hasSettled(now)) {
+        if (this.assignment.fence === 0 && !hasSettled(this.options.targets(), now)) {
             return;
         }
         const owners = this.owners();
@@ -529,12 +526,6 @@
         );
     }
 
-    /** Whether most targets are likely to have registered; keys would have to be moved to those that register later. */
-    private hasSettled(now: number): boolean {
-        const times = this.options.targets().map(({ seenAt }) => seenAt);
-        return now - Math.max(...times) > SETTLING_MS && now - Math.min(...times) > FIRST_ASSIGNMENT_MS;
-    }
-
     private plannedTarget(
         tracked: TrackedTarget,
         owners: ReadonlyMap<TrackedTarget, unknown>,
