Move what is known of an owner without an entry into a file of its own

No change of behaviour: keyAssigner.ts is long, and the target that stands for such an owner depends on its range, the service and the time only.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -23,7 +23,7 @@
 import { ownerName, processName } from "./processName.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
-import { TargetIntake } from "./targetIntake.js";
+import { unlistedOwner } from "./unlistedOwner.js";
 
 /** Table of the assignments, which all instances follow. */
 export const ASSIGNMENT_TABLE = "sassafrasloom";
@@ -447,22 +447,12 @@
         const mayReturn = now - this.startedAt <= ENTRY_RETURN_MS;
         const registered = new Set(mayReturn ? this.options.targets().map(({ entry }) => entry.id) : []);
         for (const range of this.assignment.ranges) {
-            const { target: id, startedAtMs, address } = range;
+            const { target: id, address } = range;
             const identity = ownerName(range);
             if (id === "" || address === "" || this.tracked.has(identity) || (mayReturn && !registered.has(id))) {
                 continue;
             }
-            const { service } = this.options;
-            const entry = { id, service, address, domain: "", slots: 1, draining: true, warmupLeftMs: 0, startedAtMs };
-            const listed = {
-                entry,
-                usable: false,
-                gone: true,
-                claimed: false,
-                seenAt: now,
-                intake: new TargetIntake(),
-            };
-            this.track(identity, listed, now).goneAt = now;
+            this.track(identity, unlistedOwner(range, this.options.service, now), now).goneAt = now;
         }
     }
 
