Plan no further keys for a target that took no grants

Keys that needed an owner, or were to even out load, went to targets that couldn't be reached: an owner that stayed listed and answered no grant lost its keys and got others 0.6 s later; one that refused connections or grants did so, too, as a refusal wasn't remembered. Callers of these keys were refused for as long as its entry stayed.

Cause: the planner knew only whether a target may have keys. An owner that is failing keeps its keys until its grants have ended, and was offered others all the while. The pause after an unanswered grant ended before its hold, and a refused grant began none.

Now a grant that is refused is recorded as one that wasn't taken; it doesn't prolong the hold, as it hasn't been taken. A target whose last grant wasn't taken gets further keys only if no other target can have them. Once it has lost its keys it gets one key of little load, whose grant shows whether it can be reached; with its first taken grant it counts as before.

assignmentFaults.test.ts, "is assigned at most one key after it has lost its own" (refused, outdated, unanswered, answer lost, late), and three of the four tests in planMoves.test.ts failed before (17,476 keys instead of at most 1). That a failing target gets keys if no other can have them passed before and guards that.

The price: a target that is reached again after it has lost its keys has its share again up to 10 s later if it was silent, and up to 2.4 s later if it refused (before: at once, as grants for its new keys were repeated all the while).

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -11,7 +11,10 @@
 import type { PlatformError } from "../../store/platformError.js";
 import { leaseKey, LEASE_TABLE } from "../assignerLease.js";
 import { eraOfToken } from "../fencingTokens.js";
+import { GRANT_TIMEOUT_MS } from "../grantRecord.js";
 import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
+import { KEY_COUNT } from "../keyMap.js";
+import type { CallFailure } from "../ownershipCalls.js";
 import type { RowReading, RowTransaction, TransactionOutcome } from "../rowStore.js";
 import type { TargetEntry } from "../targetEntry.js";
 
@@ -253,6 +256,64 @@
     });
 });
 
+/** What a target or its machine does with grants that it doesn't take, or takes without an answer. */
+type FailingGrant = "refused" | "outdated" | "unanswered" | "answer lost" | "late";
+
+const FAILING_GRANTS: FailingGrant[] = ["refused", "outdated", "unanswered", "answer lost", "late"];
+
+/** Has the grants to a target fail until the returned function is called. Releases get no answer. */
+const failGrants = ({ calls, clock }: AssigningInstances, id: string, kind: FailingGrant): (() => void) => {
+    const grant = calls.grant.bind(calls);
+    const release = calls.release.bind(calls);
+    const unanswered = async (): Promise<CallFailure> => {
+        await new Promise<void>(resolve => clock.setTimer(GRANT_TIMEOUT_MS, resolve));
+        return { type: "unanswered", detail: "no answer in time" };
+    };
+    calls.grant = async (target, keys) => {
+        if (target.id !== id) {
+            return grant(target, keys);
+        }
+        if (kind === "refused" || kind === "outdated") {
+            return { type: kind };
+        }
+        if (kind !== "unanswered") {
+            calls.grantDelayMs = kind === "late" ? 4_000 : 0;
+            void grant(target, keys);
+            calls.grantDelayMs = 0;
+        }
+        return unanswered();
+    };
+    calls.release = (target, keys) => (target.id === id ? unanswered() : release(target, keys));
+    return () => Object.assign(calls, { grant, release });
+};
+
+const keysOf = ({ assignment }: AssigningInstances, id: string): number =>
+    (assignment?.ranges ?? [])
+        .filter(({ target }) => target === id)
+        .reduce((sum, { from, to }) => sum + to - from + 1, 0);
+
+describe("A target that takes no grants and stays listed", () => {
+    /** Guards against keys that go to a target again and again whose former keys had to be taken from it. */
+    it.each(FAILING_GRANTS)("is assigned at most one key after it has lost its own: %s", async kind => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const heal = failGrants(system, "t1", kind);
+        await until(system, () => keysOf(system, "t1") === 0);
+        for (let elapsed = 0; elapsed < 40_000; elapsed += 200) {
+            await system.advance(200);
+            expect(keysOf(system, "t1")).toBeLessThanOrEqual(1);
+        }
+        expect(system.calls.violations).toEqual([]);
+        heal();
+        await system.advance(15_000);
+        expect(keysOf(system, "t1")).toBeGreaterThan(KEY_COUNT / 5);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
+
 describe("A target that restarts under its id and address", () => {
     it.each([true, false])(
         "isn't free of keys that its new process was granted before its entry was read (draining: %s)",
--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -53,6 +53,60 @@
         expect(keysOf(apply(ranges, moves), "t1")).toBe(0);
     });
 
+    describe("with a target that didn't take its last grant", () => {
+        const targets = [target("t1"), target("t2"), target("t3", { isFailing: true })];
+
+        /** Guards against keys that wait for a target that can't be reached while another one could have them. */
+        it("leaves it the keys that it has, and assigns others elsewhere", () => {
+            const ranges = evenRanges(["t1", "t2", "t3"]);
+            expect(planMoves({ ranges, targets, loads: EVEN, balance: true })).toEqual([]);
+            const leaving = [target("t1", { canReceive: false }), ...targets.slice(1)];
+            const moves = planMoves({ ranges, targets: leaving, loads: EVEN, balance: true });
+            expect(new Set(moves.map(move => move.target))).toEqual(new Set(["t2"]));
+        });
+
+        /** Guards against many keys without an owner while a grant shows whether the target can be reached again. */
+        it("assigns it a single key of little load if it has none, and another target all keys that need an owner", () => {
+            const ranges = evenRanges(["t1", "t2"]);
+            const weights = new Float64Array(KEY_COUNT).fill(1);
+            weights.fill(100, 0, 100);
+            const input = { ranges, targets, loads: new KeyLoads(weights) };
+            expect(planMoves({ ...input, balance: false })).toEqual([]);
+            const [move, ...further] = planMoves({ ...input, balance: true });
+            expect(further).toEqual([]);
+            expect(move.to).toBe(move.from);
+            expect(move.from).toBeGreaterThan(0);
+            expect(move.target).toBe("t3");
+            const { ranges: free } = emptyAssignment("stock");
+            const moves = planMoves({ ...input, ranges: free, balance: true });
+            expect(keysOf(apply(free, moves), "t3")).toBe(0);
+        });
+
+        /** Guards against an assignment that grows with each trial, until its row is full. */
+        it("assigns it a key that is a range of its own, if one of little load is", () => {
+            const [first, ...others] = evenRanges(["t1", "t2"]);
+            const [id, next] = [first.target, others[0].target];
+            const ranges = [700, 500].reduce(
+                (result, key) =>
+                    replaceRange(result, { ...first, from: key, to: key, target: key === 500 ? next : id, fence: 2 }),
+                [first, ...others],
+            );
+            const weights = new Float64Array(KEY_COUNT).fill(1);
+            weights[0] = 0;
+            // A hot key has a range of its own, too.
+            weights[700] = 1_000;
+            const moves = planMoves({ ranges, targets, loads: new KeyLoads(weights), balance: true });
+            expect(moves).toEqual([{ from: 500, to: 500, source: next, target: "t3" }]);
+        });
+
+        it("assigns it keys that need an owner if no other target can have them", () => {
+            const ranges = evenRanges(["t1", "t3"]);
+            const leaving = [target("t1", { canReceive: false }), target("t3", { isFailing: true })];
+            const moves = planMoves({ ranges, targets: leaving, loads: EVEN, balance: true });
+            expect(keysOf(apply(ranges, moves), "t3")).toBe(KEY_COUNT);
+        });
+    });
+
     it("assigns a new owner to keys of a target's earlier process", () => {
         const ranges = evenRanges(["t1", "t2"]);
         const targets = [target("t1", { startedAtMs: 2 }), target("t2")];
--- a/src/process/gateway/grantRecord.ts
+++ b/src/process/gateway/grantRecord.ts
@@ -10,8 +10,10 @@
 export const GRANT_TIMEOUT_MS = 800;
 /** Allowed relative drift of a target's clock: how much slower than this process's it may run. */
 const TARGET_CLOCK_DRIFT = 0.02;
-/** Time for which an unresponsive target isn't assigned further keys, in milliseconds. */
+/** Time for which a target that didn't answer its last grant isn't assigned further keys, in milliseconds. */
 const SILENCE_MS = 8_000;
+/** The same after a refused grant. It is shorter, since a refused grant keeps its keys from other targets for a moment only. */
+const REFUSAL_PAUSE_MS = 2_000;
 /** Allowance for a grant that is still in transit when the wait for its end starts, in milliseconds. */
 const TRANSFER_MS = 400;
 
@@ -27,6 +29,8 @@
     private lastArrivalAt: number;
     private lastAnswerAt = -Infinity;
     private isLastAnswered = true;
+    /** Monotonic time in milliseconds of the first and the last grant that wasn't taken, if none was taken since. */
+    private failures: { firstAt: number; lastAt: number } | undefined;
 
     /** @param since monotonic time in milliseconds until which another instance may have granted keys */
     constructor(
@@ -55,12 +59,23 @@
         this.lastArrivalAt = Math.max(this.lastArrivalAt, now);
         this.lastAnswerAt = now;
         this.isLastAnswered = true;
+        this.failures = undefined;
     }
 
     /** Records that a grant wasn't answered by `now`. */
     unanswered(now: number): void {
         this.lastArrivalAt = Math.max(this.lastArrivalAt, now + TRANSFER_MS);
         this.isLastAnswered = false;
+        this.failed(now);
+    }
+
+    /** Records that the target or its machine refused a grant by `now`. It hasn't been taken, so it prolongs no hold. */
+    refused(now: number): void {
+        this.failed(now);
+    }
+
+    private failed(now: number): void {
+        this.failures = { firstAt: this.failures?.firstAt ?? now, lastAt: now };
     }
 
     /** Monotonic time in milliseconds at which all grants to the target have expired. */
@@ -76,9 +91,17 @@
         return isGone ? this.isLastAnswered : now < Math.max(this.lastAnswerAt, this.since) + this.holdMs;
     }
 
-    /** Whether the last grant went unanswered recently. */
+    /** Whether the last grant wasn't taken. */
+    isFailing(): boolean {
+        return this.failures !== undefined;
+    }
+
+    /** Whether the last grant wasn't taken, and that recently. */
     isSilent(now: number): boolean {
-        return !this.isLastAnswered && now < this.lastArrivalAt + SILENCE_MS;
+        return (
+            this.failures !== undefined &&
+            now < Math.max(this.failures.lastAt + REFUSAL_PAUSE_MS, this.lastArrivalAt + SILENCE_MS)
+        );
     }
 
     /** Monotonic time in milliseconds of the last answer; `-Infinity` if there was none. */
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -537,6 +537,7 @@
             ...this.options.measure(tracked.listed),
             canReceive: (isListed && usable && isReached && !this.isClaiming(tracked, now)) || waitsForReturn,
             canRelease: usable && now - tracked.grants.answeredAt() < 2 * RENEWAL_MS,
+            isFailing: tracked.grants.isFailing(),
         };
     }
 
@@ -881,9 +882,11 @@
                 this.addressLost(target.listed);
                 return false;
             case "refused":
+                target.grants.refused(now);
                 return false;
             case "outdated":
             case "invalid":
+                target.grants.refused(now);
                 this.applyStatement(target, reply);
                 logger.error(`Target ${id} refused a grant.`, { from, to, fence, reply: reply.type });
                 return false;
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -15,6 +15,11 @@
     canReceive: boolean;
     /** Whether its keys may be moved away for balance; an unresponsive target can't release them. */
     canRelease: boolean;
+    /**
+     * Whether it didn't take its last grant. It keeps the keys that it has, and is assigned others only if no other target can have
+     * them; without keys it is assigned one, whose grant shows whether it can be reached again.
+     */
+    isFailing?: boolean;
 }
 
 /** Planned change of the owner of keys. `source` is `undefined` for keys without an owner. */
@@ -110,14 +115,18 @@
     }
 }
 
-const leastLoaded = (holdings: readonly Holding[]): Holding | undefined =>
-    holdings
-        .filter(({ target }) => target.canReceive)
-        .reduce<Holding | undefined>(
-            (best, holding) =>
-                best === undefined || holding.load / holding.fairLoad < best.load / best.fairLoad ? holding : best,
-            undefined,
-        );
+/** Whether a target may be assigned further keys, as far as others could have them as well. */
+const canGain = ({ target }: Holding): boolean => target.canReceive && target.isFailing !== true;
+
+const leastLoaded = (holdings: readonly Holding[]): Holding | undefined => {
+    const receivers = holdings.filter(({ target }) => target.canReceive);
+    const reached = receivers.filter(holding => canGain(holding));
+    return (reached.length > 0 ? reached : receivers).reduce<Holding | undefined>(
+        (best, holding) =>
+            best === undefined || holding.load / holding.fairLoad < best.load / best.fairLoad ? holding : best,
+        undefined,
+    );
+};
 
 /** Splits keys that need a new owner into pieces that fill the least loaded targets first. */
 const placeRange = (
@@ -176,8 +185,8 @@
         holdings.filter(({ target, load, fairLoad }) => target.canRelease && load > fairLoad * FILL_RATIO),
     );
     for (const holding of holdings) {
-        const { target, fairLoad } = holding;
-        if (!target.canReceive || holding.load >= fairLoad * IDLE_RATIO) {
+        const { fairLoad } = holding;
+        if (!canGain(holding) || holding.load >= fairLoad * IDLE_RATIO) {
             continue;
         }
         while (holding.load < fairLoad * FILL_RATIO && moves.length < maxMoves) {
@@ -231,9 +240,7 @@
     if (moves.length > 0) {
         return moves.slice(0, MAX_ISOLATING_MOVES);
     }
-    const [fastest] = others
-        .filter(other => other.target.canReceive)
-        .sort((a, b) => b.target.capacity - a.target.capacity);
+    const [fastest] = others.filter(canGain).sort((a, b) => b.target.capacity - a.target.capacity);
     return fastest !== undefined && fastest.target.capacity > target.capacity * FASTER_TARGET_RATIO
         ? [{ from: hottest, to: hottest, source: target.id, target: fastest.target.id }]
         : [];
@@ -261,7 +268,7 @@
  */
 const relieve = (holdings: readonly Holding[], loads: KeyLoads, maxMoves: number): KeyMove[] => {
     const moves: KeyMove[] = [];
-    const receivers = new Set(holdings.filter(({ target }) => target.canReceive && target.pressure < HIGH_PRESSURE));
+    const receivers = new Set(holdings.filter(holding => canGain(holding) && holding.target.pressure < HIGH_PRESSURE));
     for (const holding of byRelativeLoad(holdings.filter(isOverloaded))) {
         while (moves.length < maxMoves && holding.load > holding.fairLoad * OVERLOAD_RATIO) {
             const receiver = leastLoaded([...receivers]);
@@ -280,6 +287,36 @@
     return moves;
 };
 
+/**
+ * Assigns one key to each target without keys that didn't take its last grant; the new grant shows whether it can be reached. The
+ * key may be without an owner until its hold has expired, so it is one of little load. A key that is a range of its own, as after an
+ * earlier such move, is preferred: each other one would add a range to the assignment.
+ */
+const tryFailing = (holdings: readonly Holding[], loads: KeyLoads): KeyMove[] => {
+    const usualLoad = loads.total / KEY_COUNT;
+    return holdings
+        .filter(({ target, ranges }) => target.canReceive && target.isFailing === true && ranges.length === 0)
+        .flatMap(receiver => {
+            const [trial] = holdings
+                .filter(({ target, ranges }) => target.canRelease && hasKeysToSpare(ranges))
+                .flatMap(source =>
+                    source.ranges.flatMap(({ from, to }) =>
+                        [from, to].map(key => {
+                            const load = loads.of(key, key);
+                            return { source, key, load, isRange: from === to && load <= usualLoad };
+                        }),
+                    ),
+                )
+                .sort((a, b) => Number(b.isRange) - Number(a.isRange) || a.load - b.load);
+            return trial === undefined
+                ? []
+                : [passPiece(trial.source, receiver, { from: trial.key, to: trial.key }, loads)];
+        });
+};
+
+const hasKeysToSpare = ([first, ...others]: readonly KeyRange[]): boolean =>
+    first !== undefined && (first.from < first.to || others.length > 0);
+
 /** Moves about `wanted` load from one target to another, if that lowers the higher relative load of the two. */
 const movePiece = (source: Holding, receiver: Holding, wanted: number, loads: KeyLoads): KeyMove[] => {
     const least = receiver.fairLoad * MIN_MOVED_SHARE;
@@ -294,10 +331,21 @@
     if (moved < least || !isBetter) {
         return [];
     }
+    return [passPiece(source, receiver, piece, loads)];
+};
+
+/** Counts a piece of one target's keys for another. */
+const passPiece = (
+    source: Holding,
+    receiver: Holding,
+    piece: { from: number; to: number },
+    loads: KeyLoads,
+): KeyMove => {
+    const moved = loads.of(piece.from, piece.to);
     source.ranges = source.ranges.flatMap(range => withoutRanges(range, [piece]));
     source.load -= moved;
     receiver.load += moved;
-    return [{ ...piece, source: source.target.id, target: receiver.target.id }];
+    return { ...piece, source: source.target.id, target: receiver.target.id };
 };
 
 /**
@@ -355,5 +403,7 @@
     const isolating = isolateHotKeys(holdings, loads, maxMoves);
     const isolated = new Set(isolating.map(({ source }) => source));
     const others = holdings.filter(({ target }) => !isolated.has(target.id));
-    return [...isolating, ...fillNew(others, loads, maxMoves), ...relieve(others, loads, maxMoves)].slice(0, maxMoves);
+    const filling = fillNew(others, loads, maxMoves);
+    const trials = tryFailing(others, loads);
+    return [...isolating, ...filling, ...trials, ...relieve(others, loads, maxMoves)].slice(0, maxMoves);
 };
