End a move whose receiver takes no grants, so that its keys are planned again

Cause: KeyAssigner.grantUntilAnswered repeated the grant until it was taken. Keys of a move under way aren't planned, and each unanswered grant put off the end of the grants.

Now the grant is repeated until no grant can be in force at the receiver, or for 8 s after the first one that it didn't take. Then the move ends; the keys stay recorded for the receiver, and are planned again as those of any owner whose grants have ended. Nothing is freed sooner: the end of the hold counts from the last grant that may have arrived, as before.

Time without an owner, before: without end while the entry stayed.

--- a/src/process/gateway/__tests__/assignmentFaults.test.ts
+++ b/src/process/gateway/__tests__/assignmentFaults.test.ts
@@ -312,6 +312,25 @@
         expect(system.heldShare()).toBe(1);
         system.dispose();
     });
+
+    /** Guards against moves that don't end, whose keys aren't planned again while the entry of their receiver stays. */
+    it.each(FAILING_GRANTS)("has the keys that are moved to it planned for other targets: %s", async kind => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        failGrants(system, "t4", kind);
+        system.putTarget("t4");
+        await until(system, () => keysOf(system, "t4") > KEY_COUNT / 10);
+        // A former assigner's grants may be in force for 9.4 s; unanswered ones are repeated for 8 s, and the last one counts for 9.8 s.
+        await system.advance(kind === "refused" || kind === "outdated" ? 10_000 : 19_000);
+        for (let elapsed = 0; elapsed < 40_000; elapsed += 200) {
+            expect(keysOf(system, "t4")).toBeLessThanOrEqual(1);
+            expect(system.heldShare()).toBeGreaterThan(1 - 2 / KEY_COUNT);
+            await system.advance(200);
+        }
+        expect(system.calls.violations).toEqual([]);
+        system.dispose();
+    });
 });
 
 describe("A target that restarts under its id and address", () => {
--- a/src/process/gateway/grantRecord.ts
+++ b/src/process/gateway/grantRecord.ts
@@ -91,6 +91,14 @@
         return isGone ? this.isLastAnswered : now < Math.max(this.lastAnswerAt, this.since) + this.holdMs;
     }
 
+    /**
+     * Whether a grant that wasn't taken is worth repeating. It isn't once no grant can be in force, since another target can then
+     * have the keys, nor when none was taken for as long as a hold, since each unanswered one puts off the end of the grants.
+     */
+    isRepeatable(now: number): boolean {
+        return now < this.endsAt() && now < (this.failures?.firstAt ?? now) + this.holdMs;
+    }
+
     /** Whether the last grant wasn't taken. */
     isFailing(): boolean {
         return this.failures !== undefined;
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -614,7 +614,13 @@
                 era: this.era,
                 ms: Math.round(clock.monotonicMs() - began),
             });
-            await this.grantUntilAnswered(receiver, { ...range, fence });
+            if (!(await this.grantUntilAnswered(receiver, { ...range, fence }))) {
+                logger.warn(`${keys} weren't taken by their new owner ${id}.`, {
+                    fence,
+                    ms: Math.round(clock.monotonicMs() - began),
+                });
+                return;
+            }
         }
     }
 
@@ -849,13 +855,22 @@
         return true;
     }
 
-    private async grantUntilAnswered(receiver: TrackedTarget, range: KeyRange): Promise<void> {
-        while (!this.disposed && !receiver.ended && this.options.lease.isHeld() && receiver.listed.usable) {
+    /**
+     * Grants a new owner its keys until it takes them. Resolves to `false` if it can't be reached: the keys then stay recorded for
+     * it and are planned again like those of any owner whose grants have expired.
+     */
+    private async grantUntilAnswered(receiver: TrackedTarget, range: KeyRange): Promise<boolean> {
+        const { clock, lease } = this.options;
+        while (!this.disposed && !receiver.ended && lease.isHeld() && receiver.listed.usable) {
             if (await this.grant(receiver, range)) {
-                return;
+                return true;
+            }
+            if (!receiver.grants.isRepeatable(clock.monotonicMs())) {
+                return false;
             }
             await this.pause(REPEAT_PAUSE_MS);
         }
+        return false;
     }
 
     private async grant(target: TrackedTarget, range: KeyRange): Promise<boolean> {
