--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -4,6 +4,7 @@
 import type { LeaseProof } from "./assignerLease.js";
 import { eraOfToken, nextToken } from "./fencingTokens.js";
 import { DEFAULT_HOLD_MS, GRANT_TIMEOUT_MS, GrantRecord } from "./grantRecord.js";
+import { hasSettled } from "./hasSettled.js";
 import {
     decodeAssignment,
     emptyAssignment,
@@ -22,7 +23,7 @@
 import { ownerName, processName } from "./processName.js";
 import type { RowStore } from "./rowStore.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
-import { TargetIntake } from "./targetIntake.js";
+import { unlistedOwner } from "./unlistedOwner.js";
 
 /** Table of the assignments, which all instances follow. */
 export const ASSIGNMENT_TABLE = "sassafrasloom";
@@ -34,10 +35,6 @@
 const RELEASE_TIMEOUT_MS = 3_000;
 /** Pause before an unanswered call or transaction is retried, in milliseconds. */
 const REPEAT_PAUSE_MS = 150;
-/** Time without a new target before keys are assigned for the first time, in milliseconds. */
-const SETTLING_MS = 1_000;
-/** Minimum time from the first target to the first assignment, in which other targets can register, in milliseconds. */
-const FIRST_ASSIGNMENT_MS = 2_500;
 /** Time for which a transaction waits for further changes, in milliseconds, because each transaction wakes all instances. */
 const COMMIT_LINGER_MS = 15;
 /** Time within which entries that expired during a store outage are registered again, in milliseconds. */
@@ -450,22 +447,12 @@
         const mayReturn = now - this.startedAt <= ENTRY_RETURN_MS;
         const registered = new Set(mayReturn ? this.options.targets().map(({ entry }) => entry.id) : []);
         for (const range of this.assignment.ranges) {
-            const { target: id, startedAtMs, address } = range;
+            const { target: id, address } = range;
             const identity = ownerName(range);
             if (id === "" || address === "" || this.tracked.has(identity) || (mayReturn && !registered.has(id))) {
                 continue;
             }
-            const { service } = this.options;
-            const entry = { id, service, address, domain: "", slots: 1, draining: true, warmupLeftMs: 0, startedAtMs };
-            const listed = {
-                entry,
-                usable: false,
-                gone: true,
-                claimed: false,
-                seenAt: now,
-                intake: new TargetIntake(),
-            };
-            this.track(identity, listed, now).goneAt = now;
+            this.track(identity, unlistedOwner(range, this.options.service, now), now).goneAt = now;
         }
     }
 
@@ -475,7 +462,7 @@
         }
         this.observe();
         const now = this.options.clock.monotonicMs();
-        if (this.assignment.fence === 0 && !this.hasSettled(now)) {
+        if (this.assignment.fence === 0 && !hasSettled(this.options.targets(), now)) {
             return;
         }
         const owners = this.owners();
@@ -529,12 +516,6 @@
         );
     }
 
-    /** Whether most targets are likely to have registered; keys would have to be moved to those that register later. */
-    private hasSettled(now: number): boolean {
-        const times = this.options.targets().map(({ seenAt }) => seenAt);
-        return now - Math.max(...times) > SETTLING_MS && now - Math.min(...times) > FIRST_ASSIGNMENT_MS;
-    }
-
     private plannedTarget(
         tracked: TrackedTarget,
         owners: ReadonlyMap<TrackedTarget, unknown>,
@@ -556,6 +537,7 @@
             ...this.options.measure(tracked.listed),
             canReceive: (isListed && usable && isReached && !this.isClaiming(tracked, now)) || waitsForReturn,
             canRelease: usable && now - tracked.grants.answeredAt() < 2 * RENEWAL_MS,
+            isFailing: tracked.grants.isFailing(),
         };
     }
 
@@ -632,7 +614,13 @@
                 era: this.era,
                 ms: Math.round(clock.monotonicMs() - began),
             });
-            await this.grantUntilAnswered(receiver, { ...range, fence });
+            if (!(await this.grantUntilAnswered(receiver, { ...range, fence }))) {
+                logger.warn(`${keys} weren't taken by their new owner ${id}.`, {
+                    fence,
+                    ms: Math.round(clock.monotonicMs() - began),
+                });
+                return;
+            }
         }
     }
 
@@ -867,13 +855,22 @@
         return true;
     }
 
-    private async grantUntilAnswered(receiver: TrackedTarget, range: KeyRange): Promise<void> {
-        while (!this.disposed && !receiver.ended && this.options.lease.isHeld() && receiver.listed.usable) {
+    /**
+     * Grants a new owner its keys until it takes them. Resolves to `false` if it can't be reached: the keys then stay recorded for
+     * it and are planned again like those of any owner whose grants have expired.
+     */
+    private async grantUntilAnswered(receiver: TrackedTarget, range: KeyRange): Promise<boolean> {
+        const { clock, lease } = this.options;
+        while (!this.disposed && !receiver.ended && lease.isHeld() && receiver.listed.usable) {
             if (await this.grant(receiver, range)) {
-                return;
+                return true;
+            }
+            if (!receiver.grants.isRepeatable(clock.monotonicMs())) {
+                return false;
             }
             await this.pause(REPEAT_PAUSE_MS);
         }
+        return false;
     }
 
     private async grant(target: TrackedTarget, range: KeyRange): Promise<boolean> {
@@ -900,9 +897,11 @@
                 this.addressLost(target.listed);
                 return false;
             case "refused":
+                target.grants.refused(now);
                 return false;
             case "outdated":
             case "invalid":
+                target.grants.refused(now);
                 this.applyStatement(target, reply);
                 logger.error(`Target ${id} refused a grant.`, { from, to, fence, reply: reply.type });
                 return false;
