Log what the record of gained slices is based on, and abandoned handovers

After a takeover the logs didn't say whether the new dispatcher relied on a handover, read the durable record or refused older identifiers, and an abandoned handover left no line. The hypotheses about payouts that ran twice can't be told apart without them. A line names the target and the term, because the logger counts repeats of a message within 5 s.

--- a/src/process/dispatch/dispatchers.ts
+++ b/src/process/dispatch/dispatchers.ts
@@ -183,7 +183,14 @@
                 const gained = subtractSlices(row.slices, before);
                 if (gained.length > 0) {
                     const key = targetRowKey(service, row.target);
-                    records.gained(service, gained, key, row.term, this.options.takenFrom(key, row.term));
+                    const former = this.options.takenFrom(key, row.term);
+                    const { isHandedOver, rest } = records.gained(service, gained, key, row.term, former);
+                    // The message names the slices' target and term because the logger only counts repeats of a message.
+                    this.options.services.log.info(`Gained slices of ${key} in term ${row.term}.`, {
+                        isHandedOver,
+                        rest,
+                        from: former?.incarnation,
+                    });
                 }
             }
         }
--- a/src/process/ownership/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -708,6 +708,7 @@
                 log.info("Handed over a target.", { target: row.target, to, term });
                 changed({ type: "handed-over", target: key, to, term });
             } else {
+                log.info(`The handover of ${key} in term ${term} was not carried out.`, { to, isAcknowledged });
                 dispatcher.unholdAll();
             }
         });
--- a/src/process/records/serviceRecords.ts
+++ b/src/process/records/serviceRecords.ts
@@ -33,6 +33,17 @@
     lapsedAt: number | undefined;
 }
 
+/** What the record of gained slices is based on; for the log. */
+export interface GainedRecord {
+    /** Whether a handover was applied. */
+    isHandedOver: boolean;
+    /**
+     * What applies to slices that no handover covers: nothing could have run there, the durable record is read, or
+     * identifiers from before an instant are refused. `covered` if there are none.
+     */
+    rest: "covered" | "unused" | "durable-record" | "refused-before-instant";
+}
+
 /** Why a durable record refused an identifier, with the target's newer row if that is the reason. */
 export interface CommitRefusal {
     refusal: Refusal;
@@ -106,36 +117,37 @@
         targetKey: string,
         term: number,
         former: FormerDispatcher | undefined,
-    ): void {
+    ): GainedRecord {
         // A handover under the same term may have set instants for these slices when they moved to other instances.
         // Those instants must not apply here.
         this.authority.release(service, gained);
-        this.authority.confirm(handOverIdentifier(targetKey, term));
+        const isHandedOver = this.authority.confirm(handOverIdentifier(targetKey, term));
         // The handover may cover only a part: another instance may have prepared one under the same term, or this
         // instance may have seen the row only after two moves. Without an instant, requests for the rest would be
         // refused for as long as it stays here.
         const covered = this.authority.intervalsOf(service, gained).map(({ slice }) => slice);
         const slices = subtractSlices(gained, covered);
         if (slices.length === 0) {
-            return;
+            return { isHandedOver, rest: "covered" };
         }
         if (former?.incarnation === "") {
             this.authority.set(
                 service,
                 slices.map(slice => ({ slice, sinceMs: 0 })),
             );
-            return;
+            return { isHandedOver, rest: "unused" };
         }
         const declared = this.options.serviceOf(service);
         if (declared?.record === "durable") {
             this.authority.release(service, slices);
             void this.readDurable(declared, slices, targetKey);
-        } else {
-            // The lapse may be seconds ago. Identifiers created since then can't have run under the former dispatcher.
-            const { clock } = this.options;
-            const lapsedForMs = former?.lapsedAt === undefined ? 0 : clock.monotonicMs() - former.lapsedAt;
-            this.authority.takeOver(service, slices, clock.wallMs() - Math.max(0, lapsedForMs));
+            return { isHandedOver, rest: "durable-record" };
         }
+        // The lapse may be seconds ago. Identifiers created since then can't have run under the former dispatcher.
+        const { clock } = this.options;
+        const lapsedForMs = former?.lapsedAt === undefined ? 0 : clock.monotonicMs() - former.lapsedAt;
+        this.authority.takeOver(service, slices, clock.wallMs() - Math.max(0, lapsedForMs));
+        return { isHandedOver, rest: "refused-before-instant" };
     }
 
     /** Another instance has become the dispatcher of these slices. */
