Apply only the handover that a target's row states

Cause: a receiver kept handovers by target and term and applied one when it became the dispatcher in that term. The term doesn't identify a handover. If the row isn't written (no acknowledgement within 500 ms, a target that may have crashed, a conflict), the sender goes on admitting requests, and a takeover, or a move whose records weren't acknowledged, writes the same term. The receiver then applied the old handover: the slices counted as covered, the durable record wasn't read, a record in memory got no instant, and what the sender had run since the export ran again. Requests in flight and load that came with the handover were kept by target only.

Each handover now has an attempt, and the row that carries it out states it (`handOver`). The receiver applies the handover of its row's term and attempt and drops the others up to that term. Takeovers, evacuations, new targets and moves without acknowledged records state none, so that the durable record is read, or earlier identifiers are refused as unknown.

Both fields are optional. A row without the field was written by an earlier version and matches a handover of that version as before; an earlier version ignores the fields.

--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -49,6 +49,7 @@
 import { targetRowKey, targetRowSchema, type VersionedRow } from "./store/rows.js";
 import { RunningTime } from "./runtime/runningTime.js";
 import { ServiceLayout } from "./ownership/serviceLayout.js";
+import { handOverName, type RecordHandOver } from "./records/recordHandOver.js";
 import { ServiceRecords } from "./records/serviceRecords.js";
 import { DEFAULT_DRAIN_LIMIT_MS, SliceTransfer } from "./ownership/sliceTransfer.js";
 import { TablePoller } from "./store/tablePoller.js";
@@ -780,14 +781,10 @@
         }
     }
 
-    private importRecords(handOver: Parameters<ServiceRecords["import"]>[0], { runs, load }: TargetHandOver): boolean {
+    private importRecords(handOver: RecordHandOver, target: TargetHandOver): boolean {
         const isTaken = this.records.import(handOver);
-        const targetKey = handOver.handOver.slice(0, handOver.handOver.lastIndexOf("@"));
-        if (isTaken && runs !== undefined) {
-            this.dispatchers.expectEarlierRuns(targetKey, runs);
-        }
-        if (isTaken && load !== undefined) {
-            this.dispatchers.expectEarlierLoad(targetKey, load);
+        if (isTaken && (target.runs !== undefined || target.load !== undefined)) {
+            this.dispatchers.expectHandOver(handOverName(handOver), target);
         }
         return isTaken;
     }
--- a/src/process/dispatch/dispatchers.ts
+++ b/src/process/dispatch/dispatchers.ts
@@ -1,9 +1,9 @@
 import type { AnswerSink, DispatchedRequest } from "../../connection/answerSink.js";
 import type { OpenFrame } from "../../connection/peerProtocol.js";
-import type { HandedOverLoad } from "../balance/dispatchedLoad.js";
-import type { EarlierRuns } from "../membership/earlierRuns.js";
+import type { TargetHandOver } from "../membership/controlHandler.js";
 import { refuse } from "../../request/refusal.js";
 import type { BundleService } from "../../version/bundle.js";
+import { PreparedHandOvers, type HandOverName } from "../records/preparedHandOvers.js";
 import type { FormerDispatcher, ServiceRecords } from "../records/serviceRecords.js";
 import type { TargetRow } from "../store/rows.js";
 import { targetRowKey } from "../store/rows.js";
@@ -13,8 +13,8 @@
 import { TargetDispatcher, type TargetDispatcherEvents } from "./targetDispatcher.js";
 
 /**
- * Maximum age of a handed-over load, in milliseconds. It can become outdated when the row of the handover was not
- * written.
+ * Maximum age of a handed-over load, in milliseconds. It can become outdated while the result of writing the row of the
+ * handover isn't known.
  */
 const MAX_EARLIER_LOAD_AGE_MS = 5_000;
 
@@ -31,8 +31,8 @@
     private readonly dispatchers = new Map<string, TargetDispatcher>();
     /** Disposed dispatchers that may still have requests in flight. */
     private readonly ended = new Set<TargetDispatcher>();
-    private readonly earlierRuns = new Map<string, EarlierRuns>();
-    private readonly earlierLoads = new Map<string, { load: HandedOverLoad; at: number }>();
+    /** What former dispatchers handed over with targets, and the monotonic time of its arrival. */
+    private readonly handOvers = new PreparedHandOvers<TargetHandOver & { at: number }>();
     /** Rows by service that named this instance as dispatcher at the last call of `sync`. */
     private lastOwnRows = new Map<string, TargetRow[]>();
 
@@ -94,14 +94,12 @@
         return this.all().reduce((sum, dispatcher) => sum + dispatcher.openRequests, this.openRequestsOfEnded());
     }
 
-    /** Stores the former dispatcher's requests in flight. They arrive before the target's row names this instance. */
-    expectEarlierRuns(targetKey: string, runs: EarlierRuns): void {
-        this.earlierRuns.set(targetKey, runs);
-    }
-
-    /** Stores the load recorded by the former dispatcher. It arrives before the target's row names this instance. */
-    expectEarlierLoad(targetKey: string, load: HandedOverLoad): void {
-        this.earlierLoads.set(targetKey, { load, at: this.options.services.clock.monotonicMs() });
+    /**
+     * Stores the requests in flight and the load that the former dispatcher of a target reports. They arrive before the
+     * target's row names this instance, and apply only if that row states the same handover.
+     */
+    expectHandOver(name: HandOverName, handOver: TargetHandOver): void {
+        this.handOvers.add(name, { ...handOver, at: this.options.services.clock.monotonicMs() });
     }
 
     tick(): void {
@@ -145,16 +143,13 @@
         const { services } = this.options;
         const takenFrom = this.options.takenFrom(key, row.term)?.incarnation ?? "";
         const dispatcher = new TargetDispatcher(service, row, services, takenFrom);
-        const runs = this.earlierRuns.get(key);
-        if (runs !== undefined) {
-            dispatcher.expectEarlierRuns(runs);
+        const earlier = this.handOvers.take({ targetKey: key, term: row.term, attempt: row.handOver });
+        if (earlier?.runs !== undefined) {
+            dispatcher.expectEarlierRuns(earlier.runs);
         }
-        this.earlierRuns.delete(key);
-        const earlier = this.earlierLoads.get(key);
-        if (earlier !== undefined && services.clock.monotonicMs() - earlier.at <= MAX_EARLIER_LOAD_AGE_MS) {
+        if (earlier?.load !== undefined && services.clock.monotonicMs() - earlier.at <= MAX_EARLIER_LOAD_AGE_MS) {
             dispatcher.resumeLoad(earlier.load);
         }
-        this.earlierLoads.delete(key);
         this.dispatchers.set(key, dispatcher);
     }
 
@@ -184,7 +179,7 @@
                 if (gained.length > 0) {
                     const key = targetRowKey(service, row.target);
                     const former = this.options.takenFrom(key, row.term);
-                    const { isHandedOver, rest } = records.gained(service, gained, key, row.term, former);
+                    const { isHandedOver, rest } = records.gained(service, gained, key, row.term, former, row.handOver);
                     // The message names the slices' target and term because the logger only counts repeats of a message.
                     this.options.services.log.info(`Gained slices of ${key} in term ${row.term}.`, {
                         isHandedOver,
--- a/src/process/ownership/domainEvacuation.ts
+++ b/src/process/ownership/domainEvacuation.ts
@@ -149,7 +149,7 @@
     const term = Math.max(0, ...[...lost, ...gained].map(row => row.term)) + 1;
     const rows = [
         ...lost.map((row): TargetRow => ({ ...row, slices: [], state: "lost", dispatcher: "", term })),
-        ...gained.map((row): TargetRow => ({ ...row, term })),
+        ...gained.map((row): TargetRow => ({ ...row, term, handOver: "" })),
     ];
     const changedTargets = new Set(rows.map(({ target }) => target));
     const versions = all
--- a/src/process/ownership/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -702,7 +702,12 @@
             const written =
                 isAcknowledged &&
                 !dispatcher.mayHaveCrashed &&
-                (await this.writeRow(current, { ...current.value, dispatcher: to, term }));
+                (await this.writeRow(current, {
+                    ...current.value,
+                    dispatcher: to,
+                    term,
+                    handOver: handOver.attempt,
+                }));
             if (written) {
                 this.counters.handOvers++;
                 log.info("Handed over a target.", { target: row.target, to, term });
--- a/src/process/ownership/serviceLayout.ts
+++ b/src/process/ownership/serviceLayout.ts
@@ -91,6 +91,7 @@
                 dispatcher: "",
                 term: 1,
                 state: "serving",
+                handOver: "",
                 attempt: "",
             },
         }));
@@ -128,6 +129,7 @@
                 dispatcher: incarnation,
                 term: (row?.value.term ?? 0) + 1,
                 state: "serving",
+                handOver: "",
                 attempt: "",
             };
             if (await this.write([own, { key, version: row?.version ?? 0 }], [{ key, value }])) {
--- a/src/process/ownership/sliceTransfer.ts
+++ b/src/process/ownership/sliceTransfer.ts
@@ -157,7 +157,8 @@
         const writes = [{ key: dispatcher.key, value: left }];
         for (const [key, receiver] of receivers) {
             const merged = normalizeSlices([...receiver.value.slices, ...(given.get(key) ?? [])]);
-            writes.push({ key, value: { ...receiver.value, slices: merged, term } });
+            const handOver = handedOver.value.get(key) ?? "";
+            writes.push({ key, value: { ...receiver.value, slices: merged, term, handOver } });
         }
         const conditions = [
             own,
@@ -181,30 +182,36 @@
         });
     }
 
-    /** Hands the records of the slices over to the receiving dispatchers that are other instances. */
+    /**
+     * Hands the records of the slices over to the receiving dispatchers that are other instances. Returns the attempts
+     * that were acknowledged, by receiving target.
+     */
     private async handOverRecords(
         dispatcher: TargetDispatcher,
         given: ReadonlyMap<string, readonly Slice[]>,
         receivers: ReadonlyMap<string, Versioned<TargetRow>>,
         term: number,
-    ): Promise<Result<void, TransferError>> {
+    ): Promise<Result<Map<string, string>, TransferError>> {
         const { membership, records, peers, log } = this.options;
         const self = membership.identity().incarnation;
+        const acknowledged = new Map<string, string>();
         for (const [key, slices] of given) {
             const to = receivers.get(key)?.value.dispatcher ?? "";
             if (to === self || to === "") {
                 continue;
             }
             const handOver = records.export(dispatcher.service, slices, key, term);
-            if (!(await this.sendRecords(to, handOver))) {
-                if (!dispatcher.keeper.lost && peers().controlLink(to) !== undefined) {
-                    return err({ type: "records-unacknowledged", dispatcher: to });
-                }
-                // This is safe, because the receiver then refuses identifiers from before the transfer.
+            if (await this.sendRecords(to, handOver)) {
+                acknowledged.set(key, handOver.attempt);
+            } else if (!dispatcher.keeper.lost && peers().controlLink(to) !== undefined) {
+                return err({ type: "records-unacknowledged", dispatcher: to });
+            } else {
+                // This is safe, because the receiver's row then states no handover, so that the receiver reads the durable
+                // record or refuses identifiers from before the transfer.
                 log.warn("Handing over records failed.", { to, positions: slicesSize(slices) });
             }
         }
-        return ok(undefined);
+        return ok(acknowledged);
     }
 
     /** Sends records to their next dispatcher. Returns true if it acknowledged them. */
--- a/src/process/ownership/takeover.ts
+++ b/src/process/ownership/takeover.ts
@@ -128,6 +128,7 @@
     ...row,
     dispatcher,
     term: row.term + 1,
+    handOver: "",
 });
 
 /**
--- a/src/process/records/recordHandOver.ts
+++ b/src/process/records/recordHandOver.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import { recordedIdentifierSchema, type IdentifierRecord, type ImportError } from "./identifierRecord.js";
 import { authorityIntervalSchema, type RecordAuthority } from "./recordAuthority.js";
+import type { HandOverName } from "./preparedHandOvers.js";
 import type { Slice } from "../store/rows.js";
 
 /** Maximum bytes of answers in a handover. Identifiers whose answers don't fit are refused as already run. */
@@ -9,14 +10,30 @@
 
 /** What a dispatcher sends to the next one about the non-idempotent requests of moving slices. */
 export const recordHandOverSchema = z.object({
-    /** Identifies the move; passed to `RecordAuthority.confirm`. */
+    /** The target and the term of the row that will carry the handover out; see `handOverIdentifier`. */
     handOver: z.string().min(1),
+    /** Distinguishes handovers under the same term; the row that carries one out states it. Earlier versions lack it. */
+    attempt: z.string().min(1).optional(),
     service: z.string().min(1),
     authority: z.array(authorityIntervalSchema),
     identifiers: z.array(recordedIdentifierSchema),
 });
 export type RecordHandOver = z.infer<typeof recordHandOverSchema>;
 
+/** Identifies the handover of a target or of slices to it under a term. */
+export const handOverIdentifier = (targetKey: string, term: number): string => `${targetKey}@${term}`;
+
+/**
+ * The name of a received handover.
+ *
+ * @example
+ * handOverName({ handOver: "target/stock/t1@5", attempt }); // { targetKey: "target/stock/t1", term: 5, attempt }
+ */
+export const handOverName = ({ handOver, attempt }: Pick<RecordHandOver, "handOver" | "attempt">): HandOverName => {
+    const separator = handOver.lastIndexOf("@");
+    return { targetKey: handOver.slice(0, separator), term: Number(handOver.slice(separator + 1)), attempt };
+};
+
 /**
  * Exports the record of slices for the receiving dispatcher. To be called when no request of the slices is in flight.
  *
--- a/src/process/records/serviceRecords.ts
+++ b/src/process/records/serviceRecords.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
+import { v7 as uuidv7 } from "uuid";
 import type { RequestIdentifier } from "../../request/identifier.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import type { BundleService } from "../../version/bundle.js";
@@ -7,7 +8,14 @@
 import { IdentifierRecord, type Admission, type IdentifiedRequest } from "./identifierRecord.js";
 import type { Logger } from "../observability/logger.js";
 import { RecordAuthority } from "./recordAuthority.js";
-import { exportHandOver, importHandOver, type RecordHandOver } from "./recordHandOver.js";
+import { PreparedHandOvers } from "./preparedHandOvers.js";
+import {
+    exportHandOver,
+    handOverIdentifier,
+    handOverName,
+    importHandOver,
+    type RecordHandOver,
+} from "./recordHandOver.js";
 import type { Slice, VersionedRow } from "../store/rows.js";
 import { subtractSlices } from "../ownership/sliceMap.js";
 
@@ -22,9 +30,6 @@
     durable: Map<string, DurableRecord>;
 }
 
-/** Identifies the handover of a target's slices under a term. Both dispatchers derive it from the target's row. */
-export const handOverIdentifier = (targetKey: string, term: number): string => `${targetKey}@${term}`;
-
 /** The dispatcher that a target had before this instance took it over. */
 export interface FormerDispatcher {
     /** Empty if the target had no dispatcher. */
@@ -59,6 +64,8 @@
 export class ServiceRecords {
     private readonly authority = new RecordAuthority();
     private readonly records = new Map<string, RecordOfService>();
+    /** Identifiers under which the authority has prepared handovers. */
+    private readonly prepared = new PreparedHandOvers<string>(identifier => this.authority.discard(identifier));
 
     constructor(
         private readonly options: {
@@ -109,7 +116,8 @@
 
     /**
      * This instance has become the dispatcher of more slices of a target, under a term. `former` is the dispatcher from
-     * which it took the target over without a handover.
+     * which it took the target over without a handover. `attempt` is the handover that the target's row carries out. Any
+     * other handover says nothing about what its sender admitted afterwards, even if it was prepared for the same term.
      */
     gained(
         service: string,
@@ -117,11 +125,13 @@
         targetKey: string,
         term: number,
         former: FormerDispatcher | undefined,
+        attempt?: string,
     ): GainedRecord {
         // A handover under the same term may have set instants for these slices when they moved to other instances.
         // Those instants must not apply here.
         this.authority.release(service, gained);
-        const isHandedOver = this.authority.confirm(handOverIdentifier(targetKey, term));
+        const handOver = this.prepared.take({ targetKey, term, attempt });
+        const isHandedOver = handOver !== undefined && this.authority.confirm(handOver);
         // The handover may cover only a part: another instance may have prepared one under the same term, or this
         // instance may have seen the row only after two moves. Without an instant, requests for the rest would be
         // refused for as long as it stays here.
@@ -166,22 +176,35 @@
     }
 
     /** Exports the record of slices for their next dispatcher. */
-    export(service: BundleService, slices: readonly Slice[], targetKey: string, term: number): RecordHandOver {
-        return exportHandOver(this.recordOf(service).memory, this.authority, {
+    export(
+        service: BundleService,
+        slices: readonly Slice[],
+        targetKey: string,
+        term: number,
+    ): RecordHandOver & { attempt: string } {
+        const handOver = exportHandOver(this.recordOf(service).memory, this.authority, {
             handOver: handOverIdentifier(targetKey, term),
             service: service.name,
             slices,
             skewMs: service.clockSkewMs,
         });
+        return { ...handOver, attempt: uuidv7() };
     }
 
-    /** Imports a record of the former dispatcher. It takes effect once the rows of the move do. */
+    /** Imports a record of the former dispatcher. It takes effect once a row that states its attempt does. */
     import(handOver: RecordHandOver): boolean {
         const service = this.options.serviceOf(handOver.service);
         if (service === undefined) {
             return false;
         }
-        return importHandOver(this.recordOf(service).memory, this.authority, handOver).isOk();
+        const name = handOverName(handOver);
+        const identifier = `${handOver.handOver}/${name.attempt ?? ""}`;
+        const { memory } = this.recordOf(service);
+        if (importHandOver(memory, this.authority, { ...handOver, handOver: identifier }).isErr()) {
+            return false;
+        }
+        this.prepared.add(name, identifier);
+        return true;
     }
 
     /** Number of identifiers held and bytes used, over all services. */
--- a/src/process/store/rows.ts
+++ b/src/process/store/rows.ts
@@ -17,6 +17,11 @@
     /** Fencing token; increases with each change of owner or dispatcher. */
     term: z.number().int().min(0),
     state: z.enum(["serving", "draining", "lost"]),
+    /**
+     * Attempt of the handover that the row carries out; empty if its dispatcher got the target or slices without one.
+     * Rows of versions that don't state it lack it.
+     */
+    handOver: z.string().optional(),
     /** Identifier of the transaction that last wrote the row. */
     attempt: z.string(),
 });
