Don't treat a handover as a takeover after a failed claim

Found by reading, while looking for other state that is kept by target and term. The former dispatcher of a claim is stored before its row is written, and stays if the write fails. If that dispatcher then hands the target over under the same term, the receiver took the handover for its takeover: it held non-idempotent requests until the target's first grant, and the fence then replaced the instants that were handed over, so that callers' identifiers of about the last second were refused as unknown.

The row states whether it carries out a handover, so the stored claim applies only if it doesn't. The new test in dispatchers.test.ts fails before the change: the records get the former dispatcher of the failed claim. No run with real processes shows it.

--- a/src/process/dispatch/__tests__/dispatchers.test.ts
+++ b/src/process/dispatch/__tests__/dispatchers.test.ts
@@ -34,8 +34,8 @@
 describe("what a former dispatcher handed over with a target", () => {
     let dispatchers: Dispatchers;
     let replica: TableReplica;
-    /** Attempts that were passed to the records of gained slices. */
-    let gained: (string | undefined)[];
+    /** Former dispatchers and attempts that were passed to the records of gained slices. */
+    let gained: { from: string | undefined; attempt: string | undefined }[];
     let former: FormerDispatcher | undefined;
 
     const become = (row: TargetRow) => {
@@ -66,7 +66,7 @@
         } as unknown as DispatchServices & TargetDispatcherEvents;
         const records = {
             gained: (...values: Parameters<ServiceRecords["gained"]>) => {
-                gained.push(values[5]);
+                gained.push({ from: values[4]?.incarnation, attempt: values[5] });
                 return { isHandedOver: false, rest: "covered" };
             },
             lost: () => undefined,
@@ -88,7 +88,7 @@
         dispatchers.expectHandOver({ targetKey: KEY, term: TERM, attempt: "second" }, { load: HAND_OVER.load });
         const row = { ...ROW, dispatcher: SELF, term: TERM, handOver: "first" };
         expect(become(row)).toEqual({ busy: [5], work: 1 });
-        expect(gained).toEqual(["first"]);
+        expect(gained).toEqual([{ from: undefined, attempt: "first" }]);
     });
 
     // Requests and load of a handover that wasn't carried out are out of date. The positions counted as busy and couldn't be
@@ -97,7 +97,18 @@
         dispatchers.expectHandOver({ targetKey: KEY, term: TERM, attempt: "first" }, HAND_OVER);
         former = { incarnation: SENDER, lapsedAt: undefined };
         expect(become(claimedRow(ROW, SELF))).toEqual({ busy: [], work: 0 });
-        expect(gained).toEqual([""]);
+        expect(gained).toEqual([{ from: SENDER, attempt: "" }]);
+        expect(dispatchers.get(KEY)?.hasFenced).toBe(false);
+    });
+
+    // The dispatcher would hold non-idempotent requests until the target's first grant, and then refuse identifiers that the
+    // handover covers.
+    test("guards against treating a handover as a takeover after a claim that failed under the same term", () => {
+        dispatchers.expectHandOver({ targetKey: KEY, term: TERM, attempt: "first" }, HAND_OVER);
+        former = { incarnation: SENDER, lapsedAt: undefined };
+        expect(become({ ...ROW, dispatcher: SELF, term: TERM, handOver: "first" })).toEqual({ busy: [5], work: 1 });
+        expect(gained).toEqual([{ from: undefined, attempt: "first" }]);
+        expect(dispatchers.get(KEY)?.hasFenced).toBe(true);
     });
 
     test("guards against applying another handover under the same term", () => {
--- a/src/process/dispatch/dispatchers.ts
+++ b/src/process/dispatch/dispatchers.ts
@@ -141,7 +141,7 @@
             return;
         }
         const { services } = this.options;
-        const takenFrom = this.options.takenFrom(key, row.term)?.incarnation ?? "";
+        const takenFrom = this.formerDispatcherOf(row)?.incarnation ?? "";
         const dispatcher = new TargetDispatcher(service, row, services, takenFrom);
         const earlier = this.handOvers.take({ targetKey: key, term: row.term, attempt: row.handOver });
         if (earlier?.runs !== undefined) {
@@ -153,6 +153,15 @@
         this.dispatchers.set(key, dispatcher);
     }
 
+    /**
+     * The dispatcher from which this instance took a target over. A row that carries out a handover was written by the
+     * former dispatcher, even if a claim of this instance failed under the same term.
+     */
+    private formerDispatcherOf(row: TargetRow): FormerDispatcher | undefined {
+        const isHandedOver = row.handOver !== undefined && row.handOver !== "";
+        return isHandedOver ? undefined : this.options.takenFrom(targetRowKey(row.service, row.target), row.term);
+    }
+
     /**
      * Updates the time from which the records of each slice are complete. For a gained slice this is now, or the time
      * that its former dispatcher handed over; a slice that moves between targets of this instance keeps its time.
@@ -178,7 +187,7 @@
                 const gained = subtractSlices(row.slices, before);
                 if (gained.length > 0) {
                     const key = targetRowKey(service, row.target);
-                    const former = this.options.takenFrom(key, row.term);
+                    const former = this.formerDispatcherOf(row);
                     const { isHandedOver, rest } = records.gained(service, gained, key, row.term, former, row.handOver);
                     // The message names the slices' target and term because the logger only counts repeats of a message.
                     this.options.services.log.info(`Gained slices of ${key} in term ${row.term}.`, {
