Don't complete a durable record with a read from before its slices were lost

Found by reading, while looking for the cause of payouts that ran twice. A read of the durable record that was in progress when the slices were lost and gained again marked their record as complete. What another dispatcher had recorded and run in between wasn't in it, so a caller's resend could run again until the second read ended. It also gave authority over slices that had been lost in the meantime.

Losing or gaining slices now takes them out of the reads in progress; the gain starts its own read. No run with real processes shows it; a read takes about as long as a scan of the record's rows.

--- a/src/process/records/serviceRecords.ts
+++ b/src/process/records/serviceRecords.ts
@@ -30,6 +30,12 @@
     durable: Map<string, DurableRecord>;
 }
 
+/** A read of the durable record in progress, and the slices whose record it completes. */
+interface DurableRead {
+    service: string;
+    slices: readonly Slice[];
+}
+
 /** The dispatcher that a target had before this instance took it over. */
 export interface FormerDispatcher {
     /** Empty if the target had no dispatcher. */
@@ -66,6 +72,7 @@
     private readonly records = new Map<string, RecordOfService>();
     /** Identifiers under which the authority has prepared handovers. */
     private readonly prepared = new PreparedHandOvers<string>(identifier => this.authority.discard(identifier));
+    private readonly reads = new Set<DurableRead>();
 
     constructor(
         private readonly options: {
@@ -129,7 +136,7 @@
     ): GainedRecord {
         // A handover under the same term may have set instants for these slices when they moved to other instances.
         // Those instants must not apply here.
-        this.authority.release(service, gained);
+        this.release(service, gained);
         const handOver = this.prepared.take({ targetKey, term, attempt });
         const isHandedOver = handOver !== undefined && this.authority.confirm(handOver);
         // The handover may cover only a part: another instance may have prepared one under the same term, or this
@@ -149,7 +156,6 @@
         }
         const declared = this.options.serviceOf(service);
         if (declared?.record === "durable") {
-            this.authority.release(service, slices);
             void this.readDurable(declared, slices, targetKey);
             return { isHandedOver, rest: "durable-record" };
         }
@@ -162,7 +168,7 @@
 
     /** Another instance has become the dispatcher of these slices. */
     lost(service: string, slices: readonly Slice[]): void {
-        this.authority.release(service, slices);
+        this.release(service, slices);
     }
 
     /**
@@ -225,6 +231,19 @@
         }
     }
 
+    /**
+     * Ends the authority over slices, also that of reads in progress: those don't contain what another dispatcher runs
+     * until the slices return.
+     */
+    private release(service: string, slices: readonly Slice[]): void {
+        this.authority.release(service, slices);
+        for (const read of this.reads) {
+            if (read.service === service) {
+                read.slices = subtractSlices(read.slices, slices);
+            }
+        }
+    }
+
     private recordOf(service: BundleService): RecordOfService {
         const held = this.records.get(service.name);
         if (held !== undefined) {
@@ -262,10 +281,9 @@
     /** Reads the record of earlier dispatchers. Until that succeeds, requests for the slices are refused as not run. */
     private async readDurable(service: BundleService, slices: readonly Slice[], targetKey: string): Promise<void> {
         const { clock, scan, log, heldRow } = this.options;
-        for (;;) {
-            if (heldRow(targetKey) === undefined) {
-                return;
-            }
+        const read: DurableRead = { service: service.name, slices };
+        this.reads.add(read);
+        while (heldRow(targetKey) !== undefined && read.slices.length > 0) {
             const contents = await readDurableRecord(scan, service.name);
             const imported = contents.isOk()
                 ? this.recordOf(service).memory.importIdentifiers(service.name, contents.value.identifiers)
@@ -277,9 +295,9 @@
                 );
                 this.authority.set(
                     service.name,
-                    slices.map(slice => ({ slice, sinceMs: 0 })),
+                    read.slices.map(slice => ({ slice, sinceMs: 0 })),
                 );
-                return;
+                break;
             }
             if (imported.isErr()) {
                 log.warn("The durable record can't be read; trying again.", {
@@ -289,5 +307,6 @@
             }
             await new Promise<void>(resolve => clock.setTimer(DURABLE_READ_RETRY_MS, resolve));
         }
+        this.reads.delete(read);
     }
 }
