Keep the requests in flight of a handover whose row was missed

A move of their positions would make the target abandon them, and the slices of a lost unchecked target could be spread before their deadline.

After missed rows the latest handover of an earlier term applies as a precaution. It only makes positions count as busy until the deadlines that were reported. The new test in dispatchers.test.ts fails before the change (no position is busy).

--- a/src/process/dispatch/__tests__/dispatchers.test.ts
+++ b/src/process/dispatch/__tests__/dispatchers.test.ts
@@ -117,6 +117,15 @@
         expect(become(row)).toEqual({ busy: [], work: 0 });
     });
 
+    // Another instance may have moved slices to the target before this one saw the row of the handover. The target would
+    // abandon the former dispatcher's requests if their positions were moved.
+    test("guards against forgetting the requests of a handover whose row was followed by another", () => {
+        dispatchers.expectHandOver({ targetKey: KEY, term: TERM - 1, attempt: "other" }, { load: HAND_OVER.load });
+        dispatchers.expectHandOver({ targetKey: KEY, term: TERM, attempt: "first" }, HAND_OVER);
+        const row = { ...ROW, dispatcher: SELF, term: TERM + 1, handOver: "" };
+        expect(become(row)).toEqual({ busy: [5], work: 1 });
+    });
+
     // An instance of an earlier version states no attempt, in its handover and in its row.
     test("guards against ignoring the handover of an earlier version", () => {
         dispatchers.expectHandOver({ targetKey: KEY, term: TERM, attempt: undefined }, HAND_OVER);
--- a/src/process/dispatch/dispatchers.ts
+++ b/src/process/dispatch/dispatchers.ts
@@ -96,7 +96,7 @@
 
     /**
      * Stores the requests in flight and the load that the former dispatcher of a target reports. They arrive before the
-     * target's row names this instance, and apply only if that row states the same handover.
+     * target's row names this instance. They apply if that row states the same handover or has a later term.
      */
     expectHandOver(name: HandOverName, handOver: TargetHandOver): void {
         this.handOvers.add(name, { ...handOver, at: this.options.services.clock.monotonicMs() });
@@ -143,7 +143,10 @@
         const { services } = this.options;
         const takenFrom = this.formerDispatcherOf(row)?.incarnation ?? "";
         const dispatcher = new TargetDispatcher(service, row, services, takenFrom);
-        const earlier = this.handOvers.take({ targetKey: key, term: row.term, attempt: row.handOver });
+        // After missed rows it isn't known whether one of them carried the latest handover out. Its requests then count as
+        // running, because a move of their positions would end them.
+        const missed = this.handOvers.latestBefore(key, row.term);
+        const earlier = this.handOvers.take({ targetKey: key, term: row.term, attempt: row.handOver }) ?? missed;
         if (earlier?.runs !== undefined) {
             dispatcher.expectEarlierRuns(earlier.runs);
         }
--- a/src/process/records/preparedHandOvers.ts
+++ b/src/process/records/preparedHandOvers.ts
@@ -36,6 +36,12 @@
         this.byTarget.set(name.targetKey, kept);
     }
 
+    /** The latest handover of a term before the given one, which a row that this instance missed may have carried out. */
+    latestBefore(targetKey: string, term: number): Content | undefined {
+        const prepared = this.byTarget.get(targetKey) ?? [];
+        return prepared.findLast(({ name }) => name.term < term)?.content;
+    }
+
     /**
      * Removes and returns the handover that a row carries out. The target's other handovers up to its term are dropped,
      * since terms only grow.
