--- a/src/process/dispatch/dispatchers.ts
+++ b/src/process/dispatch/dispatchers.ts
@@ -1,9 +1,9 @@
 import type { AnswerSink, DispatchedRequest } from "../../connection/answerSink.js";
 import type { OpenFrame } from "../../connection/peerProtocol.js";
-import type { HandedOverLoad } from "../balance/dispatchedLoad.js";
-import type { EarlierRuns } from "../membership/earlierRuns.js";
+import type { TargetHandOver } from "../membership/controlHandler.js";
 import { refuse } from "../../request/refusal.js";
 import type { BundleService } from "../../version/bundle.js";
+import { PreparedHandOvers, type HandOverName } from "../records/preparedHandOvers.js";
 import type { FormerDispatcher, ServiceRecords } from "../records/serviceRecords.js";
 import type { TargetRow } from "../store/rows.js";
 import { targetRowKey } from "../store/rows.js";
@@ -13,8 +13,8 @@
 import { TargetDispatcher, type TargetDispatcherEvents } from "./targetDispatcher.js";
 
 /**
- * Maximum age of a handed-over load, in milliseconds. It can become outdated when the row of the handover was not
- * written.
+ * Maximum age of a handed-over load, in milliseconds. It can become outdated while the result of writing the row of the
+ * handover isn't known.
  */
 const MAX_EARLIER_LOAD_AGE_MS = 5_000;
 
@@ -31,8 +31,8 @@
     private readonly dispatchers = new Map<string, TargetDispatcher>();
     /** Disposed dispatchers that may still have requests in flight. */
     private readonly ended = new Set<TargetDispatcher>();
-    private readonly earlierRuns = new Map<string, EarlierRuns>();
-    private readonly earlierLoads = new Map<string, { load: HandedOverLoad; at: number }>();
+    /** What former dispatchers handed over with targets, and the monotonic time of its arrival. */
+    private readonly handOvers = new PreparedHandOvers<TargetHandOver & { at: number }>();
     /** Rows by service that named this instance as dispatcher at the last call of `sync`. */
     private lastOwnRows = new Map<string, TargetRow[]>();
 
@@ -94,14 +94,12 @@
         return this.all().reduce((sum, dispatcher) => sum + dispatcher.openRequests, this.openRequestsOfEnded());
     }
 
-    /** Stores the former dispatcher's requests in flight. They arrive before the target's row names this instance. */
-    expectEarlierRuns(targetKey: string, runs: EarlierRuns): void {
-        this.earlierRuns.set(targetKey, runs);
-    }
-
-    /** Stores the load recorded by the former dispatcher. It arrives before the target's row names this instance. */
-    expectEarlierLoad(targetKey: string, load: HandedOverLoad): void {
-        this.earlierLoads.set(targetKey, { load, at: this.options.services.clock.monotonicMs() });
+    /**
+     * Stores the requests in flight and the load that the former dispatcher of a target reports. They arrive before the
+     * target's row names this instance. They apply if that row states the same handover or has a later term.
+     */
+    expectHandOver(name: HandOverName, handOver: TargetHandOver): void {
+        this.handOvers.add(name, { ...handOver, at: this.options.services.clock.monotonicMs() });
     }
 
     tick(): void {
@@ -143,21 +141,30 @@
             return;
         }
         const { services } = this.options;
-        const takenFrom = this.options.takenFrom(key, row.term)?.incarnation ?? "";
+        const takenFrom = this.formerDispatcherOf(row)?.incarnation ?? "";
         const dispatcher = new TargetDispatcher(service, row, services, takenFrom);
-        const runs = this.earlierRuns.get(key);
-        if (runs !== undefined) {
-            dispatcher.expectEarlierRuns(runs);
+        // After missed rows it isn't known whether one of them carried the latest handover out. Its requests then count as
+        // running, because a move of their positions would end them.
+        const missed = this.handOvers.latestBefore(key, row.term);
+        const earlier = this.handOvers.take({ targetKey: key, term: row.term, attempt: row.handOver }) ?? missed;
+        if (earlier?.runs !== undefined) {
+            dispatcher.expectEarlierRuns(earlier.runs);
         }
-        this.earlierRuns.delete(key);
-        const earlier = this.earlierLoads.get(key);
-        if (earlier !== undefined && services.clock.monotonicMs() - earlier.at <= MAX_EARLIER_LOAD_AGE_MS) {
+        if (earlier?.load !== undefined && services.clock.monotonicMs() - earlier.at <= MAX_EARLIER_LOAD_AGE_MS) {
             dispatcher.resumeLoad(earlier.load);
         }
-        this.earlierLoads.delete(key);
         this.dispatchers.set(key, dispatcher);
     }
 
+    /**
+     * The dispatcher from which this instance took a target over. A row that carries out a handover was written by the
+     * former dispatcher, even if a claim of this instance failed under the same term.
+     */
+    private formerDispatcherOf(row: TargetRow): FormerDispatcher | undefined {
+        const isHandedOver = row.handOver !== undefined && row.handOver !== "";
+        return isHandedOver ? undefined : this.options.takenFrom(targetRowKey(row.service, row.target), row.term);
+    }
+
     /**
      * Updates the time from which the records of each slice are complete. For a gained slice this is now, or the time
      * that its former dispatcher handed over; a slice that moves between targets of this instance keeps its time.
@@ -183,7 +190,14 @@
                 const gained = subtractSlices(row.slices, before);
                 if (gained.length > 0) {
                     const key = targetRowKey(service, row.target);
-                    records.gained(service, gained, key, row.term, this.options.takenFrom(key, row.term));
+                    const former = this.formerDispatcherOf(row);
+                    const { isHandedOver, rest } = records.gained(service, gained, key, row.term, former, row.handOver);
+                    // The message names the slices' target and term because the logger only counts repeats of a message.
+                    this.options.services.log.info(`Gained slices of ${key} in term ${row.term}.`, {
+                        isHandedOver,
+                        rest,
+                        from: former?.incarnation,
+                    });
                 }
             }
         }
--- a/src/process/ownership/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -702,12 +702,18 @@
             const written =
                 isAcknowledged &&
                 !dispatcher.mayHaveCrashed &&
-                (await this.writeRow(current, { ...current.value, dispatcher: to, term }));
+                (await this.writeRow(current, {
+                    ...current.value,
+                    dispatcher: to,
+                    term,
+                    handOver: handOver.attempt,
+                }));
             if (written) {
                 this.counters.handOvers++;
                 log.info("Handed over a target.", { target: row.target, to, term });
                 changed({ type: "handed-over", target: key, to, term });
             } else {
+                log.info(`The handover of ${key} in term ${term} was not carried out.`, { to, isAcknowledged });
                 dispatcher.unholdAll();
             }
         });
--- a/src/process/records/serviceRecords.ts
+++ b/src/process/records/serviceRecords.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
+import { v7 as uuidv7 } from "uuid";
 import type { RequestIdentifier } from "../../request/identifier.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import type { BundleService } from "../../version/bundle.js";
@@ -7,7 +8,14 @@
 import { IdentifierRecord, type Admission, type IdentifiedRequest } from "./identifierRecord.js";
 import type { Logger } from "../observability/logger.js";
 import { RecordAuthority } from "./recordAuthority.js";
-import { exportHandOver, importHandOver, type RecordHandOver } from "./recordHandOver.js";
+import { PreparedHandOvers } from "./preparedHandOvers.js";
+import {
+    exportHandOver,
+    handOverIdentifier,
+    handOverName,
+    importHandOver,
+    type RecordHandOver,
+} from "./recordHandOver.js";
 import type { Slice, VersionedRow } from "../store/rows.js";
 import { subtractSlices } from "../ownership/sliceMap.js";
 
@@ -22,8 +30,11 @@
     durable: Map<string, DurableRecord>;
 }
 
-/** Identifies the handover of a target's slices under a term. Both dispatchers derive it from the target's row. */
-export const handOverIdentifier = (targetKey: string, term: number): string => `${targetKey}@${term}`;
+/** A read of the durable record in progress, and the slices whose record it completes. */
+interface DurableRead {
+    service: string;
+    slices: readonly Slice[];
+}
 
 /** The dispatcher that a target had before this instance took it over. */
 export interface FormerDispatcher {
@@ -33,6 +44,17 @@
     lapsedAt: number | undefined;
 }
 
+/** What the record of gained slices is based on; for the log. */
+export interface GainedRecord {
+    /** Whether a handover was applied. */
+    isHandedOver: boolean;
+    /**
+     * What applies to slices that no handover covers: nothing could have run there, the durable record is read, or
+     * identifiers from before an instant are refused. `covered` if there are none.
+     */
+    rest: "covered" | "unused" | "durable-record" | "refused-before-instant";
+}
+
 /** Why a durable record refused an identifier, with the target's newer row if that is the reason. */
 export interface CommitRefusal {
     refusal: Refusal;
@@ -48,6 +70,9 @@
 export class ServiceRecords {
     private readonly authority = new RecordAuthority();
     private readonly records = new Map<string, RecordOfService>();
+    /** Identifiers under which the authority has prepared handovers. */
+    private readonly prepared = new PreparedHandOvers<string>(identifier => this.authority.discard(identifier));
+    private readonly reads = new Set<DurableRead>();
 
     constructor(
         private readonly options: {
@@ -98,7 +123,8 @@
 
     /**
      * This instance has become the dispatcher of more slices of a target, under a term. `former` is the dispatcher from
-     * which it took the target over without a handover.
+     * which it took the target over without a handover. `attempt` is the handover that the target's row carries out. Any
+     * other handover says nothing about what its sender admitted afterwards, even if it was prepared for the same term.
      */
     gained(
         service: string,
@@ -106,41 +132,43 @@
         targetKey: string,
         term: number,
         former: FormerDispatcher | undefined,
-    ): void {
+        attempt?: string,
+    ): GainedRecord {
         // A handover under the same term may have set instants for these slices when they moved to other instances.
         // Those instants must not apply here.
-        this.authority.release(service, gained);
-        this.authority.confirm(handOverIdentifier(targetKey, term));
+        this.release(service, gained);
+        const handOver = this.prepared.take({ targetKey, term, attempt });
+        const isHandedOver = handOver !== undefined && this.authority.confirm(handOver);
         // The handover may cover only a part: another instance may have prepared one under the same term, or this
         // instance may have seen the row only after two moves. Without an instant, requests for the rest would be
         // refused for as long as it stays here.
         const covered = this.authority.intervalsOf(service, gained).map(({ slice }) => slice);
         const slices = subtractSlices(gained, covered);
         if (slices.length === 0) {
-            return;
+            return { isHandedOver, rest: "covered" };
         }
         if (former?.incarnation === "") {
             this.authority.set(
                 service,
                 slices.map(slice => ({ slice, sinceMs: 0 })),
             );
-            return;
+            return { isHandedOver, rest: "unused" };
         }
         const declared = this.options.serviceOf(service);
         if (declared?.record === "durable") {
-            this.authority.release(service, slices);
             void this.readDurable(declared, slices, targetKey);
-        } else {
-            // The lapse may be seconds ago. Identifiers created since then can't have run under the former dispatcher.
-            const { clock } = this.options;
-            const lapsedForMs = former?.lapsedAt === undefined ? 0 : clock.monotonicMs() - former.lapsedAt;
-            this.authority.takeOver(service, slices, clock.wallMs() - Math.max(0, lapsedForMs));
+            return { isHandedOver, rest: "durable-record" };
         }
+        // The lapse may be seconds ago. Identifiers created since then can't have run under the former dispatcher.
+        const { clock } = this.options;
+        const lapsedForMs = former?.lapsedAt === undefined ? 0 : clock.monotonicMs() - former.lapsedAt;
+        this.authority.takeOver(service, slices, clock.wallMs() - Math.max(0, lapsedForMs));
+        return { isHandedOver, rest: "refused-before-instant" };
     }
 
     /** Another instance has become the dispatcher of these slices. */
     lost(service: string, slices: readonly Slice[]): void {
-        this.authority.release(service, slices);
+        this.release(service, slices);
     }
 
     /**
@@ -154,22 +182,35 @@
     }
 
     /** Exports the record of slices for their next dispatcher. */
-    export(service: BundleService, slices: readonly Slice[], targetKey: string, term: number): RecordHandOver {
-        return exportHandOver(this.recordOf(service).memory, this.authority, {
+    export(
+        service: BundleService,
+        slices: readonly Slice[],
+        targetKey: string,
+        term: number,
+    ): RecordHandOver & { attempt: string } {
+        const handOver = exportHandOver(this.recordOf(service).memory, this.authority, {
             handOver: handOverIdentifier(targetKey, term),
             service: service.name,
             slices,
             skewMs: service.clockSkewMs,
         });
+        return { ...handOver, attempt: uuidv7() };
     }
 
-    /** Imports a record of the former dispatcher. It takes effect once the rows of the move do. */
+    /** Imports a record of the former dispatcher. It takes effect once a row that states its attempt does. */
     import(handOver: RecordHandOver): boolean {
         const service = this.options.serviceOf(handOver.service);
         if (service === undefined) {
             return false;
         }
-        return importHandOver(this.recordOf(service).memory, this.authority, handOver).isOk();
+        const name = handOverName(handOver);
+        const identifier = `${handOver.handOver}/${name.attempt ?? ""}`;
+        const { memory } = this.recordOf(service);
+        if (importHandOver(memory, this.authority, { ...handOver, handOver: identifier }).isErr()) {
+            return false;
+        }
+        this.prepared.add(name, identifier);
+        return true;
     }
 
     /** Number of identifiers held and bytes used, over all services. */
@@ -190,6 +231,19 @@
         }
     }
 
+    /**
+     * Ends the authority over slices, also that of reads in progress: those don't contain what another dispatcher runs
+     * until the slices return.
+     */
+    private release(service: string, slices: readonly Slice[]): void {
+        this.authority.release(service, slices);
+        for (const read of this.reads) {
+            if (read.service === service) {
+                read.slices = subtractSlices(read.slices, slices);
+            }
+        }
+    }
+
     private recordOf(service: BundleService): RecordOfService {
         const held = this.records.get(service.name);
         if (held !== undefined) {
@@ -227,10 +281,9 @@
     /** Reads the record of earlier dispatchers. Until that succeeds, requests for the slices are refused as not run. */
     private async readDurable(service: BundleService, slices: readonly Slice[], targetKey: string): Promise<void> {
         const { clock, scan, log, heldRow } = this.options;
-        for (;;) {
-            if (heldRow(targetKey) === undefined) {
-                return;
-            }
+        const read: DurableRead = { service: service.name, slices };
+        this.reads.add(read);
+        while (heldRow(targetKey) !== undefined && read.slices.length > 0) {
             const contents = await readDurableRecord(scan, service.name);
             const imported = contents.isOk()
                 ? this.recordOf(service).memory.importIdentifiers(service.name, contents.value.identifiers)
@@ -242,9 +295,9 @@
                 );
                 this.authority.set(
                     service.name,
-                    slices.map(slice => ({ slice, sinceMs: 0 })),
+                    read.slices.map(slice => ({ slice, sinceMs: 0 })),
                 );
-                return;
+                break;
             }
             if (imported.isErr()) {
                 log.warn("The durable record can't be read; trying again.", {
@@ -254,5 +307,6 @@
             }
             await new Promise<void>(resolve => clock.setTimer(DURABLE_READ_RETRY_MS, resolve));
         }
+        this.reads.delete(read);
     }
 }
