List the owners of keys after a failed call instead of reading all changes that were missed

Cause: the answer to a call for changes contains each version of a row. The follower repeated the same call until the store had dropped the history (20 s), and relayed changes didn't help, as they follow on from a later version.

The table has one row for each service, so a list is at most as large as one change of each. The follower lists it after a failed call; relayed changes that follow on from its version still apply, and then no list is needed. The other tables have many rows of which few change, so they are still read by changes.

Before, the new case of tableFollower.test.ts failed: the follower kept its old row and counted as failing.

--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -10,7 +10,13 @@
 const createFollower = (
     store: MemoryRowStore,
     clock: ManualClock,
-    pauses: { pauseMs: number; minPauseMs?: number; waitMs?: number; isProbed?: () => boolean } = { pauseMs: 0 },
+    pauses: {
+        pauseMs: number;
+        minPauseMs?: number;
+        waitMs?: number;
+        isProbed?: () => boolean;
+        listsAfterFailure?: boolean;
+    } = { pauseMs: 0 },
 ) => {
     const rows = new Map<string, unknown>();
     const regained: number[] = [];
@@ -30,6 +36,7 @@
         pauseMs: () => pauses.pauseMs,
         minPauseMs: pauses.minPauseMs,
         isProbed: pauses.isProbed,
+        listsAfterFailure: pauses.listsAfterFailure,
         followed: {
             replaced: all => {
                 snapshots.push("replaced");
@@ -106,6 +113,33 @@
         expect(regained).toHaveLength(1);
     });
 
+    // The changes of an outage were too large to be sent within the timeout of a call, so the follower called for them until the
+    // store had dropped them.
+    it("catches up after a failure although the missed changes can't be read in time", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", 0);
+        const changes = store.changes.bind(store);
+        store.changes = (table, after, ...rest) =>
+            store.latestVersion - after > 100
+                ? Promise.resolve(err({ type: "platform-unknown", detail: "timeout" }))
+                : changes(table, after, ...rest);
+        const { follower, rows, regained } = createFollower(store, clock, { pauseMs: 0, listsAfterFailure: true });
+        await advanceInSteps(clock, 100);
+        store.fault = "answer-lost";
+        await advanceInSteps(clock, 2_000);
+        for (let change = 1; change <= 200; change++) {
+            store.put("t", "a", change);
+        }
+        expect(follower.isFailing).toBe(true);
+        store.fault = undefined;
+        await advanceInSteps(clock, 1_000);
+        follower.dispose();
+        expect([...rows]).toEqual([["a", 200]]);
+        expect(follower.isFailing).toBe(false);
+        expect(regained).toHaveLength(1);
+    });
+
     it("reads a burst of changes with few calls, and without delay when a refresh is requested", async () => {
         const store = new MemoryRowStore();
         const clock = new ManualClock();
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -237,6 +237,8 @@
             ...SHARED_ROWS,
             pauseMs: () => (this.relay.isSending ? SHARED_CHANGES_PAUSE_MS : OWNERS_CHANGES_PAUSE_MS),
             minPauseMs: SHARED_CHANGES_PAUSE_MS,
+            // One row for each service, which contains the owners of all its keys.
+            listsAfterFailure: true,
             replaced: rows => rows.forEach(row => this.owners.rowChanged(row)),
             changed: row => this.ownersChanged(row),
             patched: change => this.owners.changed(change),
@@ -648,13 +650,15 @@
         maxAgeMs: number;
         pauseMs: () => number;
         minPauseMs?: number;
+        listsAfterFailure?: boolean;
         replaced: (rows: StoredRow[]) => void;
         /** Applies the first snapshot of a restored store; `replaced` by default. */
         restored?: (rows: StoredRow[]) => void;
         changed: (row: StoredRow) => KeyChange | "same" | void;
         patched?: (change: KeyChange) => boolean;
     }): TableFollower {
-        const { table, waitMs, sourceWaitMs, maxAgeMs, pauseMs, minPauseMs, replaced, restored = replaced } = options;
+        const { table, waitMs, sourceWaitMs, maxAgeMs, replaced, restored = replaced } = options;
+        const { pauseMs, minPauseMs, listsAfterFailure } = options;
         const { clock, loggers, platform } = this.options;
         const follower: TableFollower = new TableFollower({
             store: platform.store,
@@ -664,6 +668,7 @@
             waitMs: () => (this.relay.isSending ? sourceWaitMs : waitMs),
             pauseMs,
             minPauseMs,
+            listsAfterFailure,
             isProbed: () => follower !== this.configFollower && this.configFollower.isFailing,
             followed: {
                 replaced,
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -72,6 +72,8 @@
     /** Latest known era; `undefined` before the first answer. */
     private era: number | undefined;
     private mustList = true;
+    /** Whether the next call lists the table; relayed changes still apply until then. */
+    private prefersList = false;
     /** Whether the store was restored and the table hasn't been listed since. */
     private isRestored = false;
     private hasSnapshot = false;
@@ -107,6 +109,11 @@
             minPauseMs?: number;
             /** Whether another follower is failing and calls `retry` when the store answers it. */
             isProbed?: () => boolean;
+            /**
+             * Whether the whole table is read after a failed call. For few rows that change often, it is smaller than the changes
+             * that were missed, which the store may not be able to send within the timeout of a call.
+             */
+            listsAfterFailure?: boolean;
             followed: FollowedTable;
             /** Relay of changes between instances; each change is read from the store without it. */
             relay?: {
@@ -188,6 +195,7 @@
         if (readAt > this.lastAnswerAt) {
             const silentMs = this.silentMs();
             this.lastAnswerAt = readAt;
+            this.prefersList = false;
             if (this.isFailing) {
                 this.failures = 0;
                 followed.recovered(silentMs);
@@ -256,7 +264,7 @@
                 continue;
             }
             const wasReadNeeded = this.isReadNeeded;
-            const step = this.mustList ? await this.list() : await this.follow();
+            const step = this.mustList || this.prefersList ? await this.list() : await this.follow();
             if (step === "failed") {
                 await this.pause(this.failurePauseMs());
             } else if (step === "changed") {
@@ -302,6 +310,7 @@
         fresh.forEach(row => this.versions.set(row.key, row.version));
         const { isRestored } = this;
         this.mustList = false;
+        this.prefersList = false;
         this.isRestored = false;
         this.hasSnapshot = true;
         this.isReadNeeded = false;
@@ -410,6 +419,7 @@
             logger.warn("The store doesn't answer.", { table, cause: error.type, detail: error.detail });
         }
         this.failures++;
+        this.prefersList = this.options.listsAfterFailure === true;
         return "failed";
     }
 
