Don't take a table that can't be read for an outage of the store while entries are read

Cause: entries that are removed around an outage of the store stay in use for 1.7 s, and again for up to 1.7 s if an outage ends meanwhile, since living targets register again. Any followed table whose calls failed counted as such an outage, although the table of the entries was read.

The store now counts as away only if the entries haven't been read for a second, too. While they are, a removed entry is that of a target that has left. An outage in which only a held call waits for the entries still shows in the other tables.

Looked for elsewhere: `setOutage` is the only use of `isFailing` and `silentMs` of all tables together.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import type { GatewayTarget } from "./gatewayTarget.js";
 import { GatewayTargets } from "./gatewayTargets.js";
 import { ASSIGNMENT_TABLE } from "./keyAssigner.js";
+import { isStoreAway } from "./isStoreAway.js";
 import { KeyAssigners } from "./keyAssigners.js";
 import { changeBetween, type KeyChange } from "./keyChange.js";
 import { KeyOwners } from "./keyOwners.js";
@@ -69,9 +70,7 @@
 const CONFIG_MAX_AGE_MS = 1_600;
 /** The same for rows shared among instances. */
 const SHARED_MAX_AGE_MS = 4_000;
-/** Time without an answer from the store after which it counts as unreachable, in milliseconds. */
-const OUTAGE_MS = 1_000;
-/** Interval of the checks for an outage of the store, in milliseconds; a fraction of `OUTAGE_MS`. */
+/** Interval of the checks for an outage of the store, in milliseconds. */
 const OUTAGE_CHECK_MS = 250;
 /** Interval at which idle connections are closed while stopping, in milliseconds. */
 const DRAIN_STEP_MS = 100;
@@ -136,6 +135,7 @@
     private readonly ownersFollower: TableFollower;
     /** Finds out for all followers when the store answers again after a failure. */
     private readonly configFollower: TableFollower;
+    private readonly targetsFollower: TableFollower;
     private readonly followers: TableFollower[];
     private readonly assigners: KeyAssigners;
     private readonly server: GatewayServer;
@@ -250,18 +250,19 @@
             replaced: rows => rows.forEach(row => this.configChanged(row)),
             changed: row => this.configChanged(row),
         });
+        this.targetsFollower = this.follow({
+            table: tables.targets,
+            ...OPERATOR_ROWS,
+            // The assigner has to move the keys of leaving targets without delay.
+            pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
+            replaced: rows => this.targets.listed(rows),
+            restored: rows => this.targets.restored(rows),
+            changed: row => this.targetChanged(row),
+        });
         this.followers = [
             this.ownersFollower,
             this.configFollower,
-            this.follow({
-                table: tables.targets,
-                ...OPERATOR_ROWS,
-                // The assigner has to move the keys of leaving targets without delay.
-                pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
-                replaced: rows => this.targets.listed(rows),
-                restored: rows => this.targets.restored(rows),
-                changed: row => this.targetChanged(row),
-            }),
+            this.targetsFollower,
             this.follow({
                 table: CRASH_TABLE,
                 ...SHARED_ROWS,
@@ -743,8 +744,6 @@
     }
 
     private checkOutage(): void {
-        this.targets.directory.setOutage(
-            this.followers.some(follower => follower.isFailing && follower.silentMs() > OUTAGE_MS),
-        );
+        this.targets.directory.setOutage(isStoreAway({ targets: this.targetsFollower, all: this.followers }));
     }
 }
