Read fast answers in turns of 64 KB

What callers saw: beside eight answers without end (endlessLoad, "a signed body", "a body of a given length"), requests to another, sound target took hundreds of milliseconds, and the backlog that built up reached the sound target in bursts. Bursts of more than 8 requests under way were refused (connection-limit).

Cause: while its reader keeps up, Node.js reads up to 2 MB of a connection in one iteration of the event loop, and since libuv 1.45 it accepts one connection in an iteration. With eight fast answers an iteration took about 10 ms or more, so 85 new connections a second waited in the backlog of the socket.

A connection to a target now gives its turn to others after 64 KB and reads on after the next poll.

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -139,3 +139,61 @@
     expect(headers).toBe(expected === 0 ? 0 : expected + 1);
     expect(content).toBe(failed === undefined ? "whole" : "");
 });
+
+/** Highest number of bytes that are read in one iteration of the event loop of an answer that has arrived. */
+const mostBytesAtOnce = async (connections: TargetConnections, length: number): Promise<number> => {
+    let most = 0;
+    let current = 0;
+    let total = 0;
+    let isOver = false;
+    const endIteration = () => {
+        most = Math.max(most, current);
+        current = 0;
+        if (!isOver) {
+            setImmediate(endIteration);
+        }
+    };
+    endIteration();
+    await new Promise<void>((resolve, reject) => {
+        const sent = connections.send(
+            REQUEST,
+            {
+                sent: () => undefined,
+                head: () => {
+                    // Lets the buffers of the operating system fill.
+                    sent.pause();
+                    setTimeout(() => sent.resume(), 100);
+                },
+                data: chunk => {
+                    current += chunk.length;
+                    total += chunk.length;
+                },
+                end: resolve,
+                failed: ({ detail }) => reject(new Error(detail)),
+            },
+            { fresh: false },
+        );
+    });
+    isOver = true;
+    expect(total).toBe(length);
+    return Math.max(most, current);
+};
+
+// With eight such answers, connections of callers waited for up to a second until they were accepted.
+test.each([
+    ["with a length", true],
+    ["without a length", false],
+])("guards against a fast answer %s that keeps the event loop from other connections", async (_, hasLength) => {
+    const length = 8_000_000;
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${hasLength ? `Content-Length: ${length}\r\n` : ""}\r\n`);
+        socket.write(Buffer.alloc(length, "x"));
+        if (!hasLength) {
+            socket.end();
+        }
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    // A turn of 64 KB can follow another one within an iteration, since a deferred turn begins at its end.
+    expect(await mostBytesAtOnce(connections, length)).toBeLessThanOrEqual(131_072);
+});
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../process/runtime/clock.js";
 import type { Header } from "./peerProtocol.js";
 import { resettingConnector } from "./resettingConnector.js";
+import { spreadReads } from "./spreadReads.js";
 
 /** Idle time after which a connection to a target is closed instead of reused, in milliseconds. */
 export const DEFAULT_IDLE_LIMIT_MS = 10_000;
@@ -16,6 +17,8 @@
 const MAX_FRAMING_RATIO = 8;
 /** Maximum number of lines of an answer's head, with the informational answers before it, and of its trailer. */
 const MAX_LINES = 512;
+/** Number of bytes that are read of an answer before other connections get their turn. */
+const BYTES_IN_A_TURN = 65_536;
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -306,6 +309,7 @@
                     },
                 },
                 onConnect: socket => {
+                    spreadReads(socket, BYTES_IN_A_TURN);
                     connection.readOn = () => socket.emit("readable");
                 },
                 onReset: () => {
