Wait briefly for a connection when all to a target are in use

What callers saw: with 8 requests of an instance under way at a target, the next one was refused at once as unreachable (connection-limit, 503), also if one of the connections became free a few milliseconds later. A key owner can't be replaced, so each short burst for its keys had such refusals.

Cause: TargetConnections doesn't queue, and an attempt that found no connection counted the target as unreached for the rest of the request.

A request now goes to another target with a free connection, as before. If there is none, it waits while a connection is expected to become free for it within an eighth of the target latency and before its deadline (decideConnectionWait), in the order of arrival; the queue is bounded by that expectation. Otherwise it is refused at once as not run (overloaded). After the wait it is placed anew, so deadline, attempts, the key's owner, and what the target has stated (leaving, rest, limit) are checked again, two polls after the connection became free, so that a caller that has left is noticed. The connection is reserved meanwhile. A second target for a silent one is used only if it has a free connection: otherwise the attempt under way was given up for one that wasn't sent.

--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -1,5 +1,6 @@
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../process/runtime/clock.js";
+import { ConnectionQueue } from "./connectionQueue.js";
 import type { Header } from "./peerProtocol.js";
 import { resettingConnector } from "./resettingConnector.js";
 import { spreadReads } from "./spreadReads.js";
@@ -124,6 +125,9 @@
     private readonly idle: TargetConnection[] = [];
     private disposed = false;
     private readonly hasValidAddress: boolean;
+    private readonly limit: number;
+    /** Requests that wait until a connection is free. `send` doesn't consult it. */
+    readonly queue = new ConnectionQueue(() => this.limit - (this.connections.size - this.idle.length));
     /** Connections opened so far. */
     opened = 0;
 
@@ -132,6 +136,7 @@
         private readonly clock: Clock,
         private readonly options: { connectTimeoutMs?: number; limit?: number } = {},
     ) {
+        this.limit = options.limit ?? DEFAULT_CONNECTION_LIMIT;
         this.hasValidAddress = URL.canParse(originOf(address));
     }
 
@@ -264,11 +269,10 @@
     }
 
     private openWithinLimit(): TargetConnection | undefined {
-        const { limit = DEFAULT_CONNECTION_LIMIT } = this.options;
-        if (this.connections.size >= limit && this.idle.length > 0) {
+        if (this.connections.size >= this.limit && this.idle.length > 0) {
             this.discard(this.idle[0]);
         }
-        return this.connections.size < limit ? this.open() : undefined;
+        return this.connections.size < this.limit ? this.open() : undefined;
     }
 
     /** Reports the failure in a microtask, because the caller doesn't have the request until this returns. */
@@ -349,6 +353,7 @@
         }
         connection.idle = true;
         this.idle.push(connection);
+        this.queue.serve();
     }
 
     private discard(connection: TargetConnection): void {
@@ -358,5 +363,6 @@
             this.idle.splice(index, 1);
         }
         connection.client.destroy().catch(() => undefined);
+        this.queue.serve();
     }
 }
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -1,7 +1,7 @@
 import { TargetConnections } from "../../connection/targetConnections.js";
 import type { ReportedLoad } from "../../request/gatewayCall.js";
 import type { Clock } from "../runtime/clock.js";
-import type { PlacementCandidate } from "./chooseTarget.js";
+import { expectedMs, type PlacementCandidate } from "./chooseTarget.js";
 import { decideIntake, type Intake } from "./decideIntake.js";
 import type { TargetReport } from "./loadReport.js";
 import { ServiceProfile } from "./serviceProfile.js";
@@ -50,7 +50,7 @@
         readonly listed: DirectoryTarget,
         private readonly clock: Clock,
         private readonly sameDomain: boolean,
-        connectionLimit: number,
+        readonly connectionLimit: number,
         private readonly profile = new ServiceProfile(),
     ) {
         this.connections = new TargetConnections(listed.entry.address, clock, { limit: connectionLimit });
@@ -71,6 +71,11 @@
         return this.clock.monotonicMs() < this.suspectUntil;
     }
 
+    /** Expected time of one more request at the target, in milliseconds. */
+    expectedMs(): number {
+        return expectedMs(this.candidate());
+    }
+
     /** The limit that the target states; `undefined` while it states none. */
     get limit(): StatedLimit | undefined {
         return this.listed.intake.limit;
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -7,6 +7,7 @@
 import type { StatedLimit } from "../process/gateway/targetIntake.js";
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
+import { decideConnectionWait } from "./decideConnectionWait.js";
 import { decideAfterAttempt, type AttemptEnd, type NextStep, type RetryCause } from "./decideAfterAttempt.js";
 import {
     isFramed,
@@ -114,7 +115,8 @@
 export type ExcessivePart = "content" | "framing";
 
 /** What a request was waiting for when its caller left. */
-export type RequestState = "owner-wait" | "limit-wait" | "placement" | "connecting" | "at-target" | "forwarding";
+export type RequestState =
+    "owner-wait" | "limit-wait" | "connection-wait" | "placement" | "connecting" | "at-target" | "forwarding";
 
 /** How a request ended. */
 export type RequestOutcome =
@@ -177,6 +179,12 @@
     private readonly limited = new Map<GatewayTarget, number>();
     /** Whether it waits for the permit to send to a target with a limit. */
     private isWaitingForPermit = false;
+    /** Whether it waits for a connection to a target all of whose connections are in use. */
+    private isWaitingForConnection = false;
+    /** Target with a connection that is reserved for it. */
+    private reservedAt: GatewayTarget | undefined;
+    /** Monotonic time in milliseconds at which it first waited for a connection. */
+    private connectionWaitFrom: number | undefined;
     /** Time from the arrival until the final answer is due, in milliseconds. */
     readonly allowedMs: number;
     /** Monotonic time in milliseconds at which the final answer is due. */
@@ -265,12 +273,15 @@
         if (this.isWaitingForPermit) {
             return "limit-wait";
         }
+        if (this.isWaitingForConnection) {
+            return "connection-wait";
+        }
         return this.isWaitingForOwner ? "owner-wait" : "placement";
     }
 
     /** Starts an attempt if none is under way and the limits of the request allow another one. */
     private place(): void {
-        if (this.isDone || this.attempt !== undefined || this.isWaitingForPermit) {
+        if (this.isDone || this.attempt !== undefined || this.isWaitingForPermit || this.isWaitingForConnection) {
             return;
         }
         if (this.leftMs() <= 0) {
@@ -281,11 +292,14 @@
             this.finishUnanswered();
             return;
         }
-        const { services } = this;
-        const placement = services.place(this.query());
+        const placement = this.choosePlacement();
         switch (placement.type) {
             case "target":
-                this.sendIfAdmitted(placement.target);
+                if (this.hasConnection(placement.target)) {
+                    this.sendIfAdmitted(placement.target);
+                } else {
+                    this.waitForConnection(placement.target);
+                }
                 return;
             case "wait":
                 this.waitForOwner(placement.maxWaitMs);
@@ -304,6 +318,65 @@
         return { call, route, service, tried, unreached, notOwners, limited, leftMs, stopsInMs };
     }
 
+    /** Chooses a target; one to which all connections are in use only if there is no other. */
+    private choosePlacement(): Placement {
+        const query = this.query();
+        const first = this.services.place(query);
+        const tried = new Set(this.tried);
+        let next = first;
+        while (next.type === "target" && !tried.has(next.target)) {
+            if (this.hasConnection(next.target)) {
+                return next;
+            }
+            tried.add(next.target);
+            next = this.services.place({ ...query, tried });
+        }
+        return first;
+    }
+
+    private hasConnection(target: GatewayTarget): boolean {
+        return this.reservedAt === target || target.connections.queue.hasFree();
+    }
+
+    /** Waits for a connection to a target, or refuses the request if none is expected in time. */
+    private waitForConnection(target: GatewayTarget): void {
+        const { queue } = target.connections;
+        const now = this.services.clock.monotonicMs();
+        this.connectionWaitFrom ??= now;
+        const waitMs = decideConnectionWait({
+            connections: target.connectionLimit,
+            queued: queue.size,
+            expectedMs: target.expectedMs(),
+            waitedMs: now - this.connectionWaitFrom,
+            leftMs: this.leftMs(),
+            targetLatencyMs: this.route.targetLatencyMs,
+        });
+        if (waitMs === undefined) {
+            const text = `All connections to target ${target.id} are in use.`;
+            this.lastRefusal = refuse("overloaded", text, this.pauseSeconds());
+            this.finishUnanswered();
+            return;
+        }
+        this.isWaitingForConnection = true;
+        let isOver = false;
+        const end = () => {
+            if (!isOver) {
+                isOver = true;
+                this.isWaitingForConnection = false;
+                // Places anew: the target may have begun to leave or to rest, or its keys may have moved.
+                this.place();
+                this.reservedAt = undefined;
+                leave();
+            }
+        };
+        const leave = queue.join(() => {
+            this.reservedAt = target;
+            this.dispose.push(afterInput(end));
+        });
+        this.dispose.push(leave);
+        this.onTimeout(waitMs, end);
+    }
+
     /** Sends the request to a target, if the target has no limit or its limit admits the request. */
     private sendIfAdmitted(target: GatewayTarget): void {
         if (target.limit === undefined) {
@@ -522,9 +595,12 @@
         }
         const query = this.query();
         const placement = this.services.canPlaceAgain(query, "silent") ? this.services.place(query) : undefined;
-        // A target with a limit might refuse the request, whose answer may still arrive.
-        const further =
-            placement?.type === "target" && placement.target.limit === undefined ? placement.target : undefined;
+        // A target that might refuse the request isn't used, as its answer may still arrive.
+        const isFurther =
+            placement?.type === "target" &&
+            placement.target.limit === undefined &&
+            this.hasConnection(placement.target);
+        const further = isFurther ? placement.target : undefined;
         const step = this.decide("silent", further !== undefined);
         if (step !== "send-again" || further === undefined) {
             return;
