Bound the short chunks that are read of an answer at once

Cause: each part of an answer's content takes time, however short it is. A turn of 64 KB has 10,923 chunks of one byte, so eight such answers made 87,000 parts in an iteration of the event loop, in which one new connection is accepted.

A turn now ends after 256 parts as well; the piece that was read is still handled.

The new test failed before: 12,117 parts at once (limit 2,732).

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -140,8 +140,12 @@
     expect(content).toBe(failed === undefined ? "whole" : "");
 });
 
-/** Highest number of bytes that are read in one iteration of the event loop of an answer that has arrived. */
-const mostBytesAtOnce = async (connections: TargetConnections, length: number): Promise<number> => {
+/** Highest number of bytes, or of parts, of an answer that has arrived that are read in one iteration of the event loop. */
+const mostAtOnce = async (
+    connections: TargetConnections,
+    length: number,
+    countOf = (chunk: Uint8Array) => chunk.length,
+): Promise<number> => {
     let most = 0;
     let current = 0;
     let total = 0;
@@ -165,7 +169,7 @@
                     setTimeout(() => sent.resume(), 100);
                 },
                 data: chunk => {
-                    current += chunk.length;
+                    current += countOf(chunk);
                     total += chunk.length;
                 },
                 end: resolve,
@@ -195,5 +199,18 @@
     const connections = new TargetConnections(target.address, systemClock);
     disposals.push(() => connections.dispose(), target.dispose);
     // A turn of 64 KB can follow another one within an iteration, since a deferred turn begins at its end.
-    expect(await mostBytesAtOnce(connections, length)).toBeLessThanOrEqual(131_072);
+    expect(await mostAtOnce(connections, length)).toBeLessThanOrEqual(131_072);
+});
+
+// With eight such answers, the event loop took a tenth of a second for an iteration.
+test("guards against an answer in short chunks that keeps the event loop from other connections", async () => {
+    const length = 200_000;
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n`);
+        socket.end(`${"1\r\nx\r\n".repeat(length)}0\r\n\r\n`);
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    // A piece of 8 KB has 1,365 such chunks, and two turns can follow each other within an iteration.
+    expect(await mostAtOnce(connections, length, () => 1)).toBeLessThanOrEqual(2_732);
 });
--- a/src/connection/spreadReads.ts
+++ b/src/connection/spreadReads.ts
@@ -1,17 +1,26 @@
 import type { Socket } from "node:net";
 
+/** Limits on what is read of a connection in one iteration of the event loop. */
+interface ReadTurn {
+    /** Size in bytes after which reading is deferred; the piece that exceeds it is still read. */
+    maxBytes: number;
+    /** Number of parts of content after which reading is deferred, since each one takes time, however short it is. */
+    maxParts: number;
+    /** Number of parts of content that were received so far. */
+    parts: () => number;
+}
+
 /**
- * Reads about `maxBytes` of a connection in one iteration of the event loop, and the rest in the next ones. Node.js reads up to
+ * Reads a limited part of a connection in one iteration of the event loop, and the rest in the next ones. Node.js reads up to
  * 2 MB of a connection at once while its reader keeps up, and accepts one connection in each iteration: a few fast senders
  * leave new connections waiting.
  *
- * @param maxBytes size in bytes after which reading is deferred; the piece that exceeds it is still read
- *
  * @example
- * spreadReads(socket, 65_536);
+ * spreadReads(socket, { maxBytes: 65_536, maxParts: 256, parts: () => count });
  */
-export const spreadReads = (socket: Socket, maxBytes: number): void => {
+export const spreadReads = (socket: Socket, { maxBytes, maxParts, parts }: ReadTurn): void => {
     let bytes = 0;
+    let partsBefore = 0;
     let isDeferred = false;
     const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     const readOn = () => {
@@ -28,10 +37,12 @@
         if (isDeferred) {
             return null;
         }
-        const chunk = read();
+        const hasManyParts = parts() - partsBefore >= maxParts;
+        const chunk = hasManyParts ? null : read();
         bytes += chunk?.length ?? 0;
-        if (bytes >= maxBytes) {
+        if (hasManyParts || bytes >= maxBytes) {
             bytes = 0;
+            partsBefore = parts();
             isDeferred = true;
             setImmediate(readOn);
         }
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -18,8 +18,9 @@
 const MAX_FRAMING_RATIO = 8;
 /** Maximum number of lines of an answer's head, with the informational answers before it, and of its trailer. */
 const MAX_LINES = 512;
-/** Number of bytes that are read of an answer before other connections get their turn. */
-const BYTES_IN_A_TURN = 65_536;
+/** Number of bytes, and of parts of its content, that are read of an answer before other connections get their turn. */
+const MAX_BYTES_IN_A_TURN = 65_536;
+const MAX_PARTS_IN_A_TURN = 256;
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -70,6 +71,8 @@
     idle: boolean;
     /** Size of the content that was read since the last write, in bytes. */
     contentBytes: number;
+    /** Number of parts in which content was read so far. */
+    parts: number;
     /** Size of the content that the head of the answer states, in bytes; 0 if it states none. */
     statedBytes: number;
     /** Whether reading of the answer is paused. */
@@ -187,6 +190,7 @@
             },
             onResponseData: (_controller, chunk) => {
                 connection.contentBytes += chunk.length;
+                connection.parts++;
                 answer.data(chunk);
             },
             onResponseEnd: () => {
@@ -313,7 +317,11 @@
                     },
                 },
                 onConnect: socket => {
-                    spreadReads(socket, BYTES_IN_A_TURN);
+                    spreadReads(socket, {
+                        maxBytes: MAX_BYTES_IN_A_TURN,
+                        maxParts: MAX_PARTS_IN_A_TURN,
+                        parts: () => connection.parts,
+                    });
                     connection.readOn = () => socket.emit("readable");
                 },
                 onReset: () => {
@@ -331,6 +339,7 @@
             lastSuccessAt: this.clock.monotonicMs(),
             idle: false,
             contentBytes: 0,
+            parts: 0,
             statedBytes: 0,
             isPaused: false,
             readOn: () => undefined,
