Forward the chunks that arrive together as one

What callers saw: a forwarded answer of short chunks came with a chunk, and its framing, for each of them, and beside a few such answers others were slow.

Cause: each part of an answer was written on its own. By a CPU profile beside eight answers of one-byte chunks, a quarter of the time went into writes (writevGeneric, writev) and almost a fifth into garbage collection.

The parts that one read yields are now written together in a microtask. A full buffer is still reported at the next part, so at most the content of one turn is buffered in addition.

shortChunks.test.ts failed before: 60,001 chunks (limit 600).

--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -13,6 +13,7 @@
 import { afterInput } from "../process/runtime/afterInput.js";
 import { AnswerTurn } from "./answerTurn.js";
 import { ConnectionCloser } from "./connectionCloser.js";
+import { MergedWrites } from "./mergedWrites.js";
 import { handleClientErrors, writeLastProblem, writeProblem } from "./problemAnswer.js";
 import { RequestGate } from "./requestGate.js";
 
@@ -263,10 +264,11 @@
                     writeHead(head, undefined);
                     response.on("drain", onDrain);
                 });
+                const writes = new MergedWrites(response);
                 return {
                     data: chunk => {
                         if (!turn.isHeld) {
-                            return response.write(chunk);
+                            return writes.write(chunk);
                         }
                         turn.run(() => {
                             if (response.write(chunk)) {
@@ -275,9 +277,14 @@
                         });
                         return false;
                     },
-                    end: () => turn.run(() => response.end()),
+                    end: () =>
+                        turn.run(() => {
+                            writes.flush();
+                            response.end();
+                        }),
                     abort: () =>
                         turn.run(() => {
+                            writes.discard();
                             closer.cut(response);
                             const end: CallerEnd = { since: options.monotonicMs(), cause: undefined };
                             connection.exchanges.forEach(exchange => exchange.cancel(end));
