--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -139,3 +139,78 @@
     expect(headers).toBe(expected === 0 ? 0 : expected + 1);
     expect(content).toBe(failed === undefined ? "whole" : "");
 });
+
+/** Highest number of bytes, or of parts, of an answer that has arrived that are read in one iteration of the event loop. */
+const mostAtOnce = async (
+    connections: TargetConnections,
+    length: number,
+    countOf = (chunk: Uint8Array) => chunk.length,
+): Promise<number> => {
+    let most = 0;
+    let current = 0;
+    let total = 0;
+    let isOver = false;
+    const endIteration = () => {
+        most = Math.max(most, current);
+        current = 0;
+        if (!isOver) {
+            setImmediate(endIteration);
+        }
+    };
+    endIteration();
+    await new Promise<void>((resolve, reject) => {
+        const sent = connections.send(
+            REQUEST,
+            {
+                sent: () => undefined,
+                head: () => {
+                    // Lets the buffers of the operating system fill.
+                    sent.pause();
+                    setTimeout(() => sent.resume(), 100);
+                },
+                data: chunk => {
+                    current += countOf(chunk);
+                    total += chunk.length;
+                },
+                end: resolve,
+                failed: ({ detail }) => reject(new Error(detail)),
+            },
+            { fresh: false },
+        );
+    });
+    isOver = true;
+    expect(total).toBe(length);
+    return Math.max(most, current);
+};
+
+// With eight such answers, connections of callers waited for up to a second until they were accepted.
+test.each([
+    ["with a length", true],
+    ["without a length", false],
+])("guards against a fast answer %s that keeps the event loop from other connections", async (_, hasLength) => {
+    const length = 8_000_000;
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${hasLength ? `Content-Length: ${length}\r\n` : ""}\r\n`);
+        socket.write(Buffer.alloc(length, "x"));
+        if (!hasLength) {
+            socket.end();
+        }
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    // A turn of 64 KB can follow another one within an iteration, since a deferred turn begins at its end.
+    expect(await mostAtOnce(connections, length)).toBeLessThanOrEqual(131_072);
+});
+
+// With eight such answers, the event loop took a tenth of a second for an iteration.
+test("guards against an answer in short chunks that keeps the event loop from other connections", async () => {
+    const length = 200_000;
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n`);
+        socket.end(`${"1\r\nx\r\n".repeat(length)}0\r\n\r\n`);
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    // A piece of 8 KB has 1,365 such chunks, and two turns can follow each other within an iteration.
+    expect(await mostAtOnce(connections, length, () => 1)).toBeLessThanOrEqual(2_732);
+});
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -1,7 +1,9 @@
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../process/runtime/clock.js";
+import { ConnectionQueue } from "./connectionQueue.js";
 import type { Header } from "./peerProtocol.js";
 import { resettingConnector } from "./resettingConnector.js";
+import { spreadReads } from "./spreadReads.js";
 
 /** Idle time after which a connection to a target is closed instead of reused, in milliseconds. */
 export const DEFAULT_IDLE_LIMIT_MS = 10_000;
@@ -16,6 +18,9 @@
 const MAX_FRAMING_RATIO = 8;
 /** Maximum number of lines of an answer's head, with the informational answers before it, and of its trailer. */
 const MAX_LINES = 512;
+/** Number of bytes, and of parts of its content, that are read of an answer before other connections get their turn. */
+const MAX_BYTES_IN_A_TURN = 65_536;
+const MAX_PARTS_IN_A_TURN = 256;
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -66,6 +71,8 @@
     idle: boolean;
     /** Size of the content that was read since the last write, in bytes. */
     contentBytes: number;
+    /** Number of parts in which content was read so far. */
+    parts: number;
     /** Size of the content that the head of the answer states, in bytes; 0 if it states none. */
     statedBytes: number;
     /** Whether reading of the answer is paused. */
@@ -121,6 +128,9 @@
     private readonly idle: TargetConnection[] = [];
     private disposed = false;
     private readonly hasValidAddress: boolean;
+    private readonly limit: number;
+    /** Requests that wait until a connection is free. `send` doesn't consult it. */
+    readonly queue = new ConnectionQueue(() => this.limit - (this.connections.size - this.idle.length));
     /** Connections opened so far. */
     opened = 0;
 
@@ -129,6 +139,7 @@
         private readonly clock: Clock,
         private readonly options: { connectTimeoutMs?: number; limit?: number } = {},
     ) {
+        this.limit = options.limit ?? DEFAULT_CONNECTION_LIMIT;
         this.hasValidAddress = URL.canParse(originOf(address));
     }
 
@@ -179,6 +190,7 @@
             },
             onResponseData: (_controller, chunk) => {
                 connection.contentBytes += chunk.length;
+                connection.parts++;
                 answer.data(chunk);
             },
             onResponseEnd: () => {
@@ -261,11 +273,10 @@
     }
 
     private openWithinLimit(): TargetConnection | undefined {
-        const { limit = DEFAULT_CONNECTION_LIMIT } = this.options;
-        if (this.connections.size >= limit && this.idle.length > 0) {
+        if (this.connections.size >= this.limit && this.idle.length > 0) {
             this.discard(this.idle[0]);
         }
-        return this.connections.size < limit ? this.open() : undefined;
+        return this.connections.size < this.limit ? this.open() : undefined;
     }
 
     /** Reports the failure in a microtask, because the caller doesn't have the request until this returns. */
@@ -306,6 +317,11 @@
                     },
                 },
                 onConnect: socket => {
+                    spreadReads(socket, {
+                        maxBytes: MAX_BYTES_IN_A_TURN,
+                        maxParts: MAX_PARTS_IN_A_TURN,
+                        parts: () => connection.parts,
+                    });
                     connection.readOn = () => socket.emit("readable");
                 },
                 onReset: () => {
@@ -323,6 +339,7 @@
             lastSuccessAt: this.clock.monotonicMs(),
             idle: false,
             contentBytes: 0,
+            parts: 0,
             statedBytes: 0,
             isPaused: false,
             readOn: () => undefined,
@@ -345,6 +362,7 @@
         }
         connection.idle = true;
         this.idle.push(connection);
+        this.queue.serve();
     }
 
     private discard(connection: TargetConnection): void {
@@ -354,5 +372,6 @@
             this.idle.splice(index, 1);
         }
         connection.client.destroy().catch(() => undefined);
+        this.queue.serve();
     }
 }
