Read the assignment before an owner that is asked is renewed (OWNER)

Two targets held the same keys, for as long as a hold lasts: the former owner was granted them again after the row had given them to another target, which was granted them once the row had been read.

Cause: while the row may contain a change of unknown outcome, nothing may be granted. KeyAssigner.ask checked this neither before nor after it waited for earlier renewals, and renewed the owner's grants from the assignment, also if the lease had been lost and gained again during the wait and the row hadn't been read yet.

Now ask checks mayAct after the wait, as planning and renewals do. If nothing may be granted, the question is dropped and forgotten, so the next look at the entries after the row has been read asks the owner anew. No proof that a hold has ended is changed.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -1,4 +1,7 @@
+import { err } from "neverthrow";
 import { AssigningInstances, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
+import { LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
+import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
 import type { GrantReply } from "../ownershipCalls.js";
 
 const pause = (system: AssigningInstances, durationMs: number): Promise<void> =>
@@ -213,3 +216,53 @@
         system.dispose();
     });
 });
+
+/** Guards against a renewal from an assignment that may lack a change of this instance, whose write got no answer. */
+describe("An owner that is asked whether it is up before the lease is lost, and renewed after it was gained again", () => {
+    it("isn't granted keys that the row already gives to another target", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        const holder = system.start("a1");
+        await system.advance(12_000);
+        const { calls, clock, store } = system;
+        ["t1", "t2", "t3"].forEach(id => calls.occupants.set(`${id}:80`, id));
+        const transact = store.transact.bind(store);
+        let leaseEndsAt = Infinity;
+        let isMoved = false;
+        store.transact = async transaction => {
+            const sentAt = clock.monotonicMs();
+            const outcome = await transact(transaction);
+            if (transaction.puts.some(({ table }) => table === LEASE_TABLE)) {
+                leaseEndsAt = sentAt + LEASE_MS;
+            } else if (!isMoved) {
+                // The keys have their new owner, the answer is lost, and the store can't be reached until the lease has ended.
+                isMoved = true;
+                holder.isCut = true;
+                return err({ type: "platform-unknown", detail: "no answer" });
+            }
+            return outcome;
+        };
+        system.putTarget("t4");
+        await until(system, () => isMoved, 5);
+        onGrant(system, "t1", async next => {
+            const reply = await next();
+            await pause(system, 750);
+            return reply;
+        });
+        await until(system, () => clock.monotonicMs() >= leaseEndsAt - 450, 5);
+        system.putTarget("x1", { service: "unnamed", address: "t1:80", startedAtMs: 2 });
+        await until(system, () => clock.monotonicMs() >= leaseEndsAt - 220, 5);
+        system.putTarget("x2", { service: "unnamed", address: "t1:80", startedAtMs: 3 });
+        await until(system, () => !holder.assigners.lease.isHeld(), 5);
+        const row = store.row.bind(store);
+        store.row = async (table, key) => {
+            const reading = await row(table, key);
+            await pause(system, table === ASSIGNMENT_TABLE ? 600 : 0);
+            return reading;
+        };
+        holder.isCut = false;
+        await until(system, () => holder.assigners.lease.isHeld(), 5);
+        await system.advance(3_000);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -399,6 +399,12 @@
     private async ask(owner: TrackedTarget, claimant: DirectoryTarget): Promise<void> {
         owner.isAsked = true;
         await owner.renewing;
+        if (!this.mayAct()) {
+            // The row may give the keys to another target. The owner is asked anew once the row has been read.
+            owner.isAsked = false;
+            owner.claimant = undefined;
+            return;
+        }
         const answers = await this.renew(owner);
         owner.isAsked = false;
         // A target that has started again at another address may run beside the former process.
