Count silence across the starts of an owner, so that its keys are planned again

Callers of the keys of an owner that drains, answers nothing and starts again every few seconds were refused without end, and the row got a transaction for each raised token.

Cause: raised grants end once the owner hasn't answered for a hold, counted from `since` at the earliest. GrantRecord.forNewProcess set `since` to the last arrival that is possible, which each unanswered raised grant moves on, so each start counted anew.

Now a process that has answered nothing passes its own `since` on to its successor; one that has answered gives it the time of a hold from its last grant, as before. The last arrival is carried on unchanged, so endsAt() of the new record is the same as before and no hold becomes shorter.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -266,3 +266,40 @@
         system.dispose();
     });
 });
+
+/** Guards against tokens that are raised without end at an owner that answers nothing, because each of its starts counts anew. */
+describe("A draining owner that answers nothing and starts again every few seconds", () => {
+    it("loses its keys once its grants have ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.calls.silent.add("t1:80");
+        await system.advance(2_500);
+        for (let startedAtMs = 2; startedAtMs < 14; startedAtMs++) {
+            system.putTarget("t1", { startedAtMs, draining: true });
+            await system.advance(5_000);
+        }
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges.map(({ target }) => target)).not.toContain("t1");
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
+
+/** Guards against a process that isn't granted the keys of its former process, as that one's silence counts as its own. */
+describe("A target that starts again after it was silent for longer than a hold", () => {
+    it("has its keys without a wait for the end of its former grants", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.calls.silent.add("t1:80");
+        await system.advance(10_000);
+        expect(system.heldShare()).toBeLessThan(1);
+        system.calls.silent.delete("t1:80");
+        system.putTarget("t1", { startedAtMs: 2 });
+        await system.advance(1_500);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/grantRecord.ts
+++ b/src/process/gateway/grantRecord.ts
@@ -49,9 +49,16 @@
         return new GrantRecord(endedAt + GRANT_TIMEOUT_MS, holdMs);
     }
 
-    /** The record of a new process at the same address, which the grants so far may have reached. */
+    /**
+     * The record of a new process at the same address, which the grants so far may have reached. A process has the time of a hold
+     * for its first answer. The successors of one that has answered nothing share that time, since each unanswered grant puts off
+     * the end of the grants.
+     */
     forNewProcess(): GrantRecord {
-        return new GrantRecord(this.lastArrivalAt, this.holdMs);
+        const since = this.lastAnswerAt === -Infinity ? this.since : this.lastArrivalAt;
+        const record = new GrantRecord(since, this.holdMs);
+        record.lastArrivalAt = this.lastArrivalAt;
+        return record;
     }
 
     /** Records that a grant was answered, so it has arrived by `now`. */
