Keep draining only for the process that an entry names

A target that was up got no requests and no keys until it started again, after an entry of another writer with its identifier and start, another address and `draining` had been in the store.

Cause: since a process is named by its start and its address, but TargetDirectory.wasDraining compared the identifier and the start. The true entry therefore counted as draining once it was back.

Now wasDraining compares the address, too, with isSameProcess, as the rest of the directory does. A process that was draining stays so.

Not changed: the statement of a target that it leaves is still kept by start alone, and the directory remembers one departed start for each identifier. If a false entry has been put out of use or replaced by another false one, `draining` of the true process isn't remembered any more (before, the false entry carried it on), so an entry of it from before it was draining would make it usable again. That is read from the code, not tested.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -303,3 +303,19 @@
         system.dispose();
     });
 });
+
+/** Guards against a target that is left out for good, because an entry with another address says that it leaves. */
+describe("An entry of another writer that has the start of an owner, another address, and says that it leaves", () => {
+    it("doesn't keep the owner from having keys once its own entry is back", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.putTarget("t1", { address: "elsewhere:80", draining: true });
+        await system.advance(1_000);
+        system.putTarget("t1", { address: "t1:80", draining: false });
+        await system.advance(60_000);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges).toContainEqual(expect.objectContaining({ target: "t1", address: "t1:80" }));
+        system.dispose();
+    });
+});
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -57,8 +57,8 @@
 export const isAccepting = ({ entry, gone }: DirectoryTarget): boolean => !entry.draining && !gone;
 
 /**
- * The registered targets by their identifiers. A target that was draining in one start, or has stated that it leaves, stays so
- * for that start. Entries may have the same address; only an answer from there shows which of their targets has it.
+ * The registered targets by their identifiers. A process that was draining stays so. A target that has stated that it leaves
+ * stays so for that start. Entries may have the same address; only an answer from there shows which of their targets has it.
  *
  * The store may be restored from a copy, whose entries are older than what was read before. An entry of the copy doesn't bring
  * back a target that has departed, nor an earlier start of a target; one that is written or still there after the restore
@@ -222,10 +222,10 @@
         }
     }
 
-    private wasDraining({ id, startedAtMs }: TargetEntry): boolean {
-        const known = this.targets.get(id)?.entry;
-        const departed = this.departed.get(id);
-        return [known, departed].some(start => start?.startedAtMs === startedAtMs && start.draining);
+    private wasDraining(entry: TargetEntry): boolean {
+        const known = this.targets.get(entry.id)?.entry;
+        const departed = this.departed.get(entry.id);
+        return [known, departed].some(start => start?.draining === true && isSameProcess(start, entry));
     }
 
     /** Handles an entry that is no longer in the store. */
