Count holds that a held-up renewal follows in the replay of OWNER

The replay let two targets hold the same keys without a failure: for the whole hold of a renewal that was held up, it counted no second owner, although the grant before it still held the keys.

Cause: WorkingTargets replaced a hold by the renewed one, and took over that this one doesn't count.

Now the holds without held-up grants are kept beside the actual ones. A second owner is allowed only if no key that both have is among them. Each case that failed before fails still: a hold that counted before counts now.

--- a/test/support/workingTargets.ts
+++ b/test/support/workingTargets.ts
@@ -10,8 +10,6 @@
 interface HeldKeys extends GrantedKeys {
     /** Time at which the hold ends, in milliseconds of the shared clock. */
     until: number;
-    /** Whether the grant was held up by a cut or by a freeze of its sender, and arrived right after it. */
-    isHeldUp: boolean;
 }
 
 /** Requests that run on keys that are being released. */
@@ -51,6 +49,8 @@
     /** Share of the grants that it doesn't answer and takes late. */
     lateShare: number;
     held: HeldKeys[];
+    /** The holds without grants that were held up, which don't count. Such a grant doesn't end the hold of an earlier one. */
+    counted: HeldKeys[];
     seen: GrantedKeys[];
     work: RunningWork[];
     callers: Set<Caller<never>>;
@@ -61,6 +61,19 @@
 /** Maximum delay with which an unanswered grant is taken, in milliseconds. */
 const MAX_LATE_MS = 6_000;
 
+/** Holds after a grant was taken. A late renewal doesn't shorten the hold. */
+const withHold = (holds: readonly HeldKeys[], taken: HeldKeys): HeldKeys[] => {
+    const longer = holds.filter(held => held.fence === taken.fence && held.until > taken.until);
+    const added = withoutRanges(taken, longer);
+    return [...holds.flatMap(held => withoutRanges(held, added)), ...added];
+};
+
+/** The parts of holds in force that have keys of a range. */
+const heldAmong = (holds: readonly HeldKeys[], { from, to }: Keys, now: number): HeldKeys[] =>
+    holds
+        .filter(held => overlaps(held, { from, to }) && held.until > now)
+        .map(held => ({ ...held, from: Math.max(held.from, from), to: Math.min(held.to, to) }));
+
 /**
  * Stand-in for targets that own keys, with requests that run on them. It checks what the rule OWNER asks for: one living owner,
  * tokens above those of other targets, and no keys at which another target is still at work.
@@ -98,6 +111,7 @@
             isSilent: false,
             lateShare: 0,
             held: [],
+            counted: [],
             seen: [],
             work: [],
             callers: new Set(),
@@ -205,6 +219,7 @@
             }
         }
         process.held = process.held.flatMap(held => withoutRanges(held, [keys]));
+        process.counted = process.counted.flatMap(held => withoutRanges(held, [keys]));
         process.work = process.work.filter(({ endsAt }) => endsAt > now);
         return Math.max(now, ...process.work.filter(work => overlaps(work, keys)).map(({ endsAt }) => endsAt));
     }
@@ -224,10 +239,10 @@
             if (!this.hadGrant(process, grant)) {
                 this.taken.push({ from, to, fence, process });
             }
-            // A late renewal doesn't shorten the hold.
-            const longer = process.held.filter(held => held.fence === fence && held.until > until);
-            const added = withoutRanges({ from, to, fence, until, isHeldUp }, longer);
-            process.held = [...process.held.flatMap(held => withoutRanges(held, added)), ...added];
+            process.held = withHold(process.held, { from, to, fence, until });
+            if (!isHeldUp) {
+                process.counted = withHold(process.counted, { from, to, fence, until });
+            }
         }
         if (!process.seen.some(seen => seen.fence === fence && seen.from <= from && seen.to >= to)) {
             process.seen = [...process.seen, { from, to, fence }];
@@ -248,9 +263,11 @@
             if (other === process) {
                 continue;
             }
-            const held = other.held.find(keys => overlaps(keys, grant) && keys.until > now);
+            const shared = heldAmong(other.held, grant, now);
+            const counted = shared.flatMap(keys => heldAmong(other.counted, keys, now));
+            const held = counted[0] ?? shared[0];
             if (held !== undefined) {
-                const list = grant.isHeldUp || held.isHeldUp ? this.allowed : this.violations;
+                const list = grant.isHeldUp || counted.length === 0 ? this.allowed : this.violations;
                 const leftMs = Math.round(held.until - now);
                 list.push(`at ${now} ${taker}, ${this.name(other)} holds ${this.text(held)} for ${leftMs} ms more`);
             }
