Check the token of renewals in the replay of OWNER

The replay let a target take keys again under its token after another target had had them under a higher one, for instance in a late renewal.

Cause: WorkingTargets checked only keys that the target hadn't had under this token before. RULES.md wants the token of each grant that an upstream takes to be above all with which other upstreams had its keys.

Now all keys of a grant are checked. A renewal that was held up is listed as allowed, as RULES.md excepts it; keys that are new to the target are checked as before, also in a held-up grant.

"doesn't count such a renewal if it was held up" is new.

--- a/test/support/__tests__/workingTargets.test.ts
+++ b/test/support/__tests__/workingTargets.test.ts
@@ -43,4 +43,26 @@
         expect(targets.violations).toEqual([]);
         expect(targets.allowed).toHaveLength(1);
     });
+
+    it("counts a grant that is renewed although another target had its keys with a higher token", () => {
+        const { clock, targets, grant, first, second } = startTargets();
+        grant(first, 1, { holdMs: 1_000 });
+        clock.advance(1_500);
+        grant(second, 2);
+        targets.end(second);
+        // A late renewal, for instance by an instance that doesn't know of the second owner.
+        grant(first, 1);
+        expect(targets.violations).toHaveLength(1);
+    });
+
+    it("doesn't count such a renewal if it was held up", () => {
+        const { clock, targets, grant, first, second } = startTargets();
+        grant(first, 1, { holdMs: 1_000 });
+        clock.advance(1_500);
+        grant(second, 2);
+        targets.end(second);
+        grant(first, 1, { isHeldUp: true });
+        expect(targets.violations).toEqual([]);
+        expect(targets.allowed).toHaveLength(1);
+    });
 });
--- a/test/support/workingTargets.ts
+++ b/test/support/workingTargets.ts
@@ -282,15 +282,19 @@
             { from: grant.from, to: grant.to },
             this.taken.filter(taken => taken.process === process && taken.fence === grant.fence),
         );
-        const higher = this.taken.find(
+        const higher = this.taken.filter(
             taken =>
                 taken.process !== process &&
                 (this.isEachStartAnother || taken.process.id !== process.id) &&
                 taken.fence >= grant.fence &&
-                fresh.some(keys => overlaps(keys, taken)),
+                overlaps(taken, grant),
         );
-        if (higher !== undefined) {
-            this.violations.push(`at ${now} ${taker}, ${this.name(higher.process)} had ${this.text(higher)}`);
+        const higherForFresh = higher.find(taken => fresh.some(keys => overlaps(keys, taken)));
+        const had = higherForFresh ?? higher[0];
+        if (had !== undefined) {
+            // A renewal that was held up doesn't count.
+            const list = grant.isHeldUp && higherForFresh === undefined ? this.allowed : this.violations;
+            list.push(`at ${now} ${taker}, ${this.name(had.process)} had ${this.text(had)}`);
         }
     }
 
