Keep ranges of processes at different addresses apart

No caller is known to have seen this: one of two adjacent ranges would be recorded for an address at which its owner doesn't have the keys. Both ranges need the same identifier, start, token and handover, and so the same transaction; no such sequence is known.

Cause: since a process is named by its address as well, but canMerge of keyMap.ts didn't compare it.

Evidence: keyMap.test.ts, "guards against keys that are recorded for an address at which their owner doesn't have them", from the review, failed before. Ranges without an owner have no address and are merged as before.

--- a/src/process/gateway/__tests__/keyMap.test.ts
+++ b/src/process/gateway/__tests__/keyMap.test.ts
@@ -41,6 +41,15 @@
     });
 });
 
+describe("replaceRange", () => {
+    it("guards against keys that are recorded for an address at which their owner doesn't have them", () => {
+        const owned = { target: "t1", startedAtMs: 1, fence: 1 };
+        const first = { ...owned, from: 0, to: 9, address: "first:80" };
+        const second = { ...owned, from: 10, to: 19, address: "second:80" };
+        expect(replaceRange([second], first)).toEqual([first, second]);
+    });
+});
+
 describe("encodeAssignment", () => {
     /** Bytes of a row's value. */
     const ROW_BYTES = 65_536;
--- a/src/process/gateway/keyMap.ts
+++ b/src/process/gateway/keyMap.ts
@@ -110,6 +110,7 @@
 const canMerge = (first: KeyRange, second: KeyRange): boolean =>
     first.target === second.target &&
     first.startedAtMs === second.startedAtMs &&
+    first.address === second.address &&
     first.fence === second.fence &&
     first.handover === second.handover;
 
