Grant no raised token to a process that has ended (OWNER)

No caller is known to have seen it.

Cause: KeyAssigner.raiseFence records a higher token and then grants it to the owner. If the owner's target starts again at its address while the token is being recorded, the new process takes the grant, as a grant names no start. It was counted in the record of the ended process, which isn't tracked any more unless the assignment names it, so the keys counted as expired.

Now nothing is granted to an owner that has ended meanwhile. The next attempt finds the new process and raises the token again; no proof that a hold has ended is changed.

Evidence: secondOwners.test.ts, "is waited for until the grant under that token has ended", failed before (t1 and t2 held the same keys from 26.9 s on, t1 and t3 as well).

Not changed: a raised grant that is under way when its process is found to have ended is still counted in that process's record.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -319,3 +319,32 @@
         system.dispose();
     });
 });
+
+/** Guards against a grant that is counted for a process which has ended, although the next one at its address takes it. */
+describe("A target that starts again at its address while a higher token for its keys is being recorded", () => {
+    it("is waited for until the grant under that token has ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const { calls, store } = system;
+        calls.silent.add("t1:80");
+        await system.advance(2_500);
+        calls.silent.delete("t1:80");
+        const transact = store.transact.bind(store);
+        let isSlow = false;
+        store.transact = async transaction => {
+            if (!isSlow && transaction.puts.some(({ table }) => table === ASSIGNMENT_TABLE)) {
+                isSlow = true;
+                await pause(system, 12_000);
+            }
+            return transact(transaction);
+        };
+        system.putTarget("t1", { startedAtMs: 2, draining: true });
+        await until(system, () => isSlow);
+        system.putTarget("t1", { startedAtMs: 3, draining: true });
+        await system.advance(25_000);
+        expect(calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -701,7 +701,8 @@
         if (fence === undefined) {
             return undefined;
         }
-        return { fence, isAnswered: await this.grant(owner, { ...range, fence }) };
+        // Another process at the address would take the grant, and its hold would count for the one that has ended.
+        return { fence, isAnswered: !owner.ended && (await this.grant(owner, { ...range, fence })) };
     }
 
     /** What shows that no target can hold the keys of a range any more; `undefined` if nothing does. */
