--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -1,4 +1,7 @@
+import { err } from "neverthrow";
 import { AssigningInstances, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
+import { LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
+import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
 import type { GrantReply } from "../ownershipCalls.js";
 
 const pause = (system: AssigningInstances, durationMs: number): Promise<void> =>
@@ -213,3 +216,135 @@
         system.dispose();
     });
 });
+
+/** Guards against a renewal from an assignment that may lack a change of this instance, whose write got no answer. */
+describe("An owner that is asked whether it is up before the lease is lost, and renewed after it was gained again", () => {
+    it("isn't granted keys that the row already gives to another target", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        const holder = system.start("a1");
+        await system.advance(12_000);
+        const { calls, clock, store } = system;
+        ["t1", "t2", "t3"].forEach(id => calls.occupants.set(`${id}:80`, id));
+        const transact = store.transact.bind(store);
+        let leaseEndsAt = Infinity;
+        let isMoved = false;
+        store.transact = async transaction => {
+            const sentAt = clock.monotonicMs();
+            const outcome = await transact(transaction);
+            if (transaction.puts.some(({ table }) => table === LEASE_TABLE)) {
+                leaseEndsAt = sentAt + LEASE_MS;
+            } else if (!isMoved) {
+                // The keys have their new owner, the answer is lost, and the store can't be reached until the lease has ended.
+                isMoved = true;
+                holder.isCut = true;
+                return err({ type: "platform-unknown", detail: "no answer" });
+            }
+            return outcome;
+        };
+        system.putTarget("t4");
+        await until(system, () => isMoved, 5);
+        onGrant(system, "t1", async next => {
+            const reply = await next();
+            await pause(system, 750);
+            return reply;
+        });
+        await until(system, () => clock.monotonicMs() >= leaseEndsAt - 450, 5);
+        system.putTarget("x1", { service: "unnamed", address: "t1:80", startedAtMs: 2 });
+        await until(system, () => clock.monotonicMs() >= leaseEndsAt - 220, 5);
+        system.putTarget("x2", { service: "unnamed", address: "t1:80", startedAtMs: 3 });
+        await until(system, () => !holder.assigners.lease.isHeld(), 5);
+        const row = store.row.bind(store);
+        store.row = async (table, key) => {
+            const reading = await row(table, key);
+            await pause(system, table === ASSIGNMENT_TABLE ? 600 : 0);
+            return reading;
+        };
+        holder.isCut = false;
+        await until(system, () => holder.assigners.lease.isHeld(), 5);
+        await system.advance(3_000);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
+
+/** Guards against tokens that are raised without end at an owner that answers nothing, because each of its starts counts anew. */
+describe("A draining owner that answers nothing and starts again every few seconds", () => {
+    it("loses its keys once its grants have ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.calls.silent.add("t1:80");
+        await system.advance(2_500);
+        for (let startedAtMs = 2; startedAtMs < 14; startedAtMs++) {
+            system.putTarget("t1", { startedAtMs, draining: true });
+            await system.advance(5_000);
+        }
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges.map(({ target }) => target)).not.toContain("t1");
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
+
+/** Guards against a process that isn't granted the keys of its former process, as that one's silence counts as its own. */
+describe("A target that starts again after it was silent for longer than a hold", () => {
+    it("has its keys without a wait for the end of its former grants", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.calls.silent.add("t1:80");
+        await system.advance(10_000);
+        expect(system.heldShare()).toBeLessThan(1);
+        system.calls.silent.delete("t1:80");
+        system.putTarget("t1", { startedAtMs: 2 });
+        await system.advance(1_500);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
+
+/** Guards against a target that is left out for good, because an entry with another address says that it leaves. */
+describe("An entry of another writer that has the start of an owner, another address, and says that it leaves", () => {
+    it("doesn't keep the owner from having keys once its own entry is back", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.putTarget("t1", { address: "elsewhere:80", draining: true });
+        await system.advance(1_000);
+        system.putTarget("t1", { address: "t1:80", draining: false });
+        await system.advance(60_000);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges).toContainEqual(expect.objectContaining({ target: "t1", address: "t1:80" }));
+        system.dispose();
+    });
+});
+
+/** Guards against a grant that is counted for a process which has ended, although the next one at its address takes it. */
+describe("A target that starts again at its address while a higher token for its keys is being recorded", () => {
+    it("is waited for until the grant under that token has ended", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const { calls, store } = system;
+        calls.silent.add("t1:80");
+        await system.advance(2_500);
+        calls.silent.delete("t1:80");
+        const transact = store.transact.bind(store);
+        let isSlow = false;
+        store.transact = async transaction => {
+            if (!isSlow && transaction.puts.some(({ table }) => table === ASSIGNMENT_TABLE)) {
+                isSlow = true;
+                await pause(system, 12_000);
+            }
+            return transact(transaction);
+        };
+        system.putTarget("t1", { startedAtMs: 2, draining: true });
+        await until(system, () => isSlow);
+        system.putTarget("t1", { startedAtMs: 3, draining: true });
+        await system.advance(25_000);
+        expect(calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -399,6 +399,12 @@
     private async ask(owner: TrackedTarget, claimant: DirectoryTarget): Promise<void> {
         owner.isAsked = true;
         await owner.renewing;
+        if (!this.mayAct()) {
+            // The row may give the keys to another target. The owner is asked anew once the row has been read.
+            owner.isAsked = false;
+            owner.claimant = undefined;
+            return;
+        }
         const answers = await this.renew(owner);
         owner.isAsked = false;
         // A target that has started again at another address may run beside the former process.
@@ -695,7 +701,8 @@
         if (fence === undefined) {
             return undefined;
         }
-        return { fence, isAnswered: await this.grant(owner, { ...range, fence }) };
+        // Another process at the address would take the grant, and its hold would count for the one that has ended.
+        return { fence, isAnswered: !owner.ended && (await this.grant(owner, { ...range, fence })) };
     }
 
     /** What shows that no target can hold the keys of a range any more; `undefined` if nothing does. */
