Reset the connection on which an answer to a grant or release was doubted (OWNER)

What callers saw: after a doubted answer, a release could count as ended although the target still worked on the keys, and a grant as taken that was never answered, so two targets could own the same keys.

The cause: callUntilTrusted made the call again on a new connection and kept the old one in use. The true answer was still due there, and the next call read it as its own. A call that waits for a connection starts as soon as the doubted answer is complete, so closing the connection afterwards would be too late.

The fix: the head of an answer is judged while it is parsed, and the connection of a doubted one is reset at once, before another call can start on it. The pool doesn't replace the connection of an aborted call any more before there is a further call, which would have opened a third connection; an existing test counts them.

--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -1,11 +1,16 @@
-import { Pool } from "undici";
+import type { Socket } from "node:net";
+import { errors, Pool, type Dispatcher } from "undici";
 import { resettingConnector } from "./resettingConnector.js";
 
-/** The response to a call. */
-export interface CallResponse {
-    type: "response";
+/** The status and the headers of a response. */
+export interface CallHead {
     status: number;
     headers: Record<string, string | string[] | undefined>;
+}
+
+/** The response to a call. */
+export interface CallResponse extends CallHead {
+    type: "response";
     body: Buffer;
 }
 
@@ -39,6 +44,16 @@
 /** Whether calls can be made to an address; `createCallPool` throws for others. */
 export const isCallAddress = (address: string): boolean => URL.canParse(originOf(address));
 
+/**
+ * Keeps undici from replacing the connection of an aborted call before there is a further one. It does so if the connection
+ * ends with an `InformationalError`, since it then keeps the aborted call in its queue.
+ */
+const endWithAbortedCall = (socket: Socket): void => {
+    const destroy = socket.destroy.bind(socket);
+    socket.destroy = (error?: Error) =>
+        destroy(error instanceof errors.InformationalError ? new Error(error.message) : error);
+};
+
 /** Creates a connection pool for calls to one address. */
 export const createCallPool = (address: string, connections: number): Pool =>
     new Pool(originOf(address), {
@@ -47,6 +62,7 @@
         connect: resettingConnector({
             timeoutMs: CONNECT_TIMEOUT_MS,
             readLimit: { isExcessive: bytes => bytes > MAX_RESPONSE_BYTES },
+            onConnect: endWithAbortedCall,
         }),
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -58,7 +74,7 @@
  * @example
  * const result = await call(pool, { method: "POST", path: "/grant", body: "{}" }, 800);
  */
-export const call = async (pool: Pool, request: CallRequest, timeoutMs: number): Promise<CallResult> => {
+export const call = async (pool: Dispatcher, request: CallRequest, timeoutMs: number): Promise<CallResult> => {
     // Node.js 20 may drop a timeout signal that only `AbortSignal.any` refers to, and the call would never end.
     const controller = new AbortController();
     const abort = () => controller.abort(request.signal?.reason);
@@ -88,22 +104,51 @@
     }
 };
 
+/**
+ * Resets the connection of a doubted response when its head has been read. The response to the call may still be due there, and
+ * the next call, which starts when a response is complete, would read it as its own.
+ */
+const resetOnDoubt =
+    (isDoubted: (response: CallHead) => boolean, doubted: () => void): Dispatcher.DispatcherComposeInterceptor =>
+    dispatch =>
+    (options, handler) =>
+        dispatch(options, {
+            onRequestStart: (...started) => handler.onRequestStart?.(...started),
+            onRequestUpgrade: (...upgraded) => handler.onRequestUpgrade?.(...upgraded),
+            onResponseStart: (controller, status, headers, message) => {
+                const isInformational = status < 200;
+                if (!isInformational && isDoubted({ status, headers })) {
+                    doubted();
+                    controller.abort(new Error("The response is doubted."));
+                    return;
+                }
+                handler.onResponseStart?.(controller, status, headers, message);
+            },
+            onResponseData: (...received) => handler.onResponseData?.(...received),
+            onResponseEnd: (...ended) => handler.onResponseEnd?.(...ended),
+            onResponseError: (...failed) => handler.onResponseError?.(...failed),
+        });
+
 /**
  * Makes one call, and makes it again on a new connection, which has no earlier responses, if its response is doubted. Both take
- * at most `timeoutMs` milliseconds together.
+ * at most `timeoutMs` milliseconds together. The connection of the doubted response isn't used for further calls.
  *
  * @example
- * const isDoubted = ({ status }: CallResponse) => status === 421;
+ * const isDoubted = ({ status }: CallHead) => status === 421;
  * const result = await callUntilTrusted({ address, pool, isDoubted }, { method: "POST", path: "/grant", body: "{}" }, 800);
  */
 export const callUntilTrusted = async (
-    options: { address: string; pool: Pool; isDoubted: (response: CallResponse) => boolean },
+    options: { address: string; pool: Pool; isDoubted: (response: CallHead) => boolean },
     request: CallRequest,
     timeoutMs: number,
 ): Promise<CallResult> => {
     const endsAt = performance.now() + timeoutMs;
-    const first = await call(options.pool, request, timeoutMs);
-    if (first.type !== "response" || !options.isDoubted(first)) {
+    let wasDoubted = false;
+    const doubting = resetOnDoubt(options.isDoubted, () => {
+        wasDoubted = true;
+    });
+    const first = await call(options.pool.compose(doubting), request, timeoutMs);
+    if (!wasDoubted) {
         return first;
     }
     const pool = createCallPool(options.address, 1);
