Keep the first copy of a grant that was made twice with the late grants (OWNER)

What callers saw: two owners of the same keys and a lower token, after a target repeated a 409 for a grant and took the grant late.

The cause: the grant is made again on a new connection after a doubted answer, and the answer there stood for both copies. The first copy has got no answer of its own and may be taken seconds later, but wasn't kept in LateGrants, so no higher token preceded the release.

The fix: the reply says that a copy is outstanding. The assigner then counts the grant as one that may also arrive later, in LateGrants and in GrantRecord, so the target sees a higher token before the keys are released, and the hold is counted from the later arrival.

--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -12,6 +12,8 @@
 export interface CallResponse extends CallHead {
     type: "response";
     body: Buffer;
+    /** Whether the call was made twice, since an earlier response was doubted. */
+    isSecond?: boolean;
 }
 
 /** The response to a call, or the reason why there is none. */
@@ -154,6 +156,13 @@
     const pool = createCallPool(options.address, 1);
     const second = await call(pool, request, Math.max(0, Math.ceil(endsAt - performance.now())));
     void pool.destroy();
-    // The first call has reached the process.
-    return second.type === "refused" ? { type: "unanswered", detail: second.detail } : second;
+    switch (second.type) {
+        case "response":
+            return { ...second, isSecond: true };
+        case "refused":
+            // The first call has reached the process.
+            return { type: "unanswered", detail: second.detail };
+        case "unanswered":
+            return second;
+    }
 };
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -884,6 +884,10 @@
         this.grantsUnderWay.add(call);
         const reply = await call.finally(() => this.grantsUnderWay.delete(call));
         const now = clock.monotonicMs();
+        if ("isCopyOutstanding" in reply && reply.isCopyOutstanding === true) {
+            target.grants.unanswered(now);
+            target.late.add(range, now);
+        }
         switch (reply.type) {
             case "granted":
                 target.grants.answered(now);
--- a/src/process/gateway/ownershipCalls.ts
+++ b/src/process/gateway/ownershipCalls.ts
@@ -27,6 +27,12 @@
     leaving?: boolean;
 }
 
+/** What a target's answer to a grant leaves open. */
+export interface GrantUncertainty {
+    /** Whether the grant was made twice, and one copy without an answer of its own may be taken late. */
+    isCopyOutstanding?: boolean;
+}
+
 /** A target's answer to a grant. */
 export type GrantReply =
     | ((
@@ -35,7 +41,8 @@
           | { type: "outdated" }
           | { type: "invalid"; status: number }
       ) &
-          CallStatement)
+          CallStatement &
+          GrantUncertainty)
     | CallFailure;
 
 /** A target's answer to a release. `handover` names the state that the next owner can take over. */
