Tell the answers to grants and releases apart by the id of their call (OWNER)

What callers saw: two owners of the same keys, after a target repeated a 200 for a grant and took the grant late.

The cause: grants and releases were sent without X-Request-Id, so nothing in an answer named its call, and a 200 wasn't doubted.

The fix: each copy of a call carries an id of its own, which PROTOCOL.md says is echoed. An answer with it is trusted at once, also a 409, a 421 and a release without a handover, which cost a second call before. An answer with another id counts for nothing, whatever its status: its connection is reset, the call is made again within its time, and the first copy counts as one that may be taken late. Answers without an id are treated as before.

Four new cases of ownershipHttp.test.ts failed before.

--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -131,32 +131,55 @@
             onResponseError: (...failed) => handler.onResponseError?.(...failed),
         });
 
+/** One copy of a call that may be made twice. */
+export interface CallCopy {
+    request: CallRequest;
+    /** Whether a response may belong to another call. There are no earlier responses on a new connection. */
+    isDoubted: (response: CallHead, isNewConnection: boolean) => boolean;
+}
+
+/** Makes one copy of a call; `undefined` if its response is doubted. */
+const callOnce = async (
+    pool: Pool,
+    { request, isDoubted }: CallCopy,
+    isNewConnection: boolean,
+    timeoutMs: number,
+): Promise<CallResult | undefined> => {
+    let wasDoubted = false;
+    const doubting = resetOnDoubt(
+        response => isDoubted(response, isNewConnection),
+        () => {
+            wasDoubted = true;
+        },
+    );
+    const result = await call(pool.compose(doubting), request, timeoutMs);
+    return wasDoubted ? undefined : result;
+};
+
 /**
- * Makes one call, and makes it again on a new connection, which has no earlier responses, if its response is doubted. Both take
- * at most `timeoutMs` milliseconds together. The connection of the doubted response isn't used for further calls.
+ * Makes one call, and makes it again on a new connection if its response is doubted. Both take at most `timeoutMs` milliseconds
+ * together. The connection of a doubted response isn't used for further calls.
  *
  * @example
- * const isDoubted = ({ status }: CallHead) => status === 421;
- * const result = await callUntilTrusted({ address, pool, isDoubted }, { method: "POST", path: "/grant", body: "{}" }, 800);
+ * const request = { method: "POST" as const, path: "/grant", body: "{}" };
+ * const copy = () => ({ request, isDoubted: ({ status }: CallHead) => status === 421 });
+ * const result = await callUntilTrusted({ address, pool, copy }, 800);
  */
 export const callUntilTrusted = async (
-    options: { address: string; pool: Pool; isDoubted: (response: CallHead) => boolean },
-    request: CallRequest,
+    { address, pool, copy }: { address: string; pool: Pool; copy: () => CallCopy },
     timeoutMs: number,
 ): Promise<CallResult> => {
     const endsAt = performance.now() + timeoutMs;
-    let wasDoubted = false;
-    const doubting = resetOnDoubt(options.isDoubted, () => {
-        wasDoubted = true;
-    });
-    const first = await call(options.pool.compose(doubting), request, timeoutMs);
-    if (!wasDoubted) {
+    const first = await callOnce(pool, copy(), false, timeoutMs);
+    if (first !== undefined) {
         return first;
     }
-    const pool = createCallPool(options.address, 1);
-    const second = await call(pool, request, Math.max(0, Math.ceil(endsAt - performance.now())));
-    void pool.destroy();
-    switch (second.type) {
+    const newPool = createCallPool(address, 1);
+    const second = await callOnce(newPool, copy(), true, Math.max(0, Math.ceil(endsAt - performance.now())));
+    void newPool.destroy();
+    switch (second?.type) {
+        case undefined:
+            return { type: "unanswered", detail: "the response is that to another call" };
         case "response":
             return { ...second, isSecond: true };
         case "refused":
