Don't end the claimant of an address by a renewal of an owner that has ended (OWNER)

What callers saw: a target that held keys counted as ended, and its keys went to others at once, after it had repeated a 200 for a renewal that was meant for the former owner of its address.

The cause: KeyAssigner.ask takes a renewal that is taken at the address as proof that the owner is there and the claimant isn't, also if an answer from there has shown meanwhile that the owner has ended.

The fix: such a renewal proves nothing any more if the owner counts as ended when it is answered. Fewer keys become free than before, never more.

Left open: a repeated 200 without an id when no other answer came before. A question on a new connection would exclude it.

--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -1,4 +1,6 @@
-import { AssigningInstances, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
+import { AssigningInstances, SERVICE, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
+import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
+import { encodeAssignment, KEY_COUNT } from "../keyMap.js";
 import type { GrantReply } from "../ownershipCalls.js";
 
 const pause = (system: AssigningInstances, durationMs: number): Promise<void> =>
@@ -213,3 +215,41 @@
         system.dispose();
     });
 });
+
+/**
+ * Guards against an answer 200 that is taken for proof of where an owner is up. Nothing in an answer names its call, and calls to
+ * two targets with one address share their connections, so it may be that of the other target to an earlier grant.
+ */
+describe("A target that has the address of an owner that has ended, and repeats an answer for it", () => {
+    it("keeps its keys until it has released them", async () => {
+        const system = new AssigningInstances(["t2", "t3"]);
+        const { calls, store } = system;
+        const owned = { startedAtMs: 1, address: "t1:80", fence: 1 };
+        const ranges = [
+            { ...owned, from: 0, to: 99, target: "t1" },
+            { ...owned, from: 100, to: KEY_COUNT - 1, target: "t4", startedAtMs: 2, fence: 2 },
+        ];
+        // The former assigner ended before it had given all keys of `t1` to others.
+        await store.transact({
+            expected: [],
+            puts: [
+                {
+                    table: ASSIGNMENT_TABLE,
+                    key: SERVICE,
+                    value: encodeAssignment({ service: SERVICE, fence: 2, ranges }),
+                },
+            ],
+        });
+        system.putTarget("t4", { address: "t1:80", startedAtMs: 2 });
+        calls.occupants.set("t1:80", "t4");
+        let sent = 0;
+        // The first one is a periodic renewal, the second one asks `t1` whether it is up.
+        onGrant(system, "t1", next => (++sent === 2 ? Promise.resolve({ type: "granted" }) : next()));
+        system.start("a1");
+        await until(system, () => sent >= 2);
+        expect(system.heldShare()).toBeGreaterThan(0.9);
+        await system.advance(5_000);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -401,8 +401,9 @@
         await owner.renewing;
         const answers = await this.renew(owner);
         owner.isAsked = false;
-        // A target that has started again at another address may run beside the former process.
-        if (answers.includes(true) && claimant.entry.address === owner.listed.entry.address) {
+        // A target that has started again at another address may run beside the former process. If another answer has shown that the
+        // owner has ended, the one that takes the renewal is that of the claimant.
+        if (!owner.ended && answers.includes(true) && claimant.entry.address === owner.listed.entry.address) {
             this.addressLost(claimant);
         }
     }
