--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -407,8 +407,9 @@
         }
         const answers = await this.renew(owner);
         owner.isAsked = false;
-        // A target that has started again at another address may run beside the former process.
-        if (answers.includes(true) && claimant.entry.address === owner.listed.entry.address) {
+        // A target that has started again at another address may run beside the former process. If another answer has shown that the
+        // owner has ended, the one that takes the renewal is that of the claimant.
+        if (!owner.ended && answers.includes(true) && claimant.entry.address === owner.listed.entry.address) {
             this.addressLost(claimant);
         }
     }
@@ -891,6 +892,10 @@
         this.grantsUnderWay.add(call);
         const reply = await call.finally(() => this.grantsUnderWay.delete(call));
         const now = clock.monotonicMs();
+        if ("isCopyOutstanding" in reply && reply.isCopyOutstanding === true) {
+            target.grants.unanswered(now);
+            target.late.add(range, now);
+        }
         switch (reply.type) {
             case "granted":
                 target.grants.answered(now);
