--- a/src/process/gateway/__tests__/secondOwners.test.ts
+++ b/src/process/gateway/__tests__/secondOwners.test.ts
@@ -1,6 +1,7 @@
 import { err } from "neverthrow";
 import { AssigningInstances, SERVICE, startWithMovedKeys } from "../../../../test/support/assigningInstances.js";
 import { LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
+import { GRANT_TIMEOUT_MS } from "../grantRecord.js";
 import { ASSIGNMENT_TABLE } from "../keyAssigner.js";
 import { encodeAssignment, KEY_COUNT } from "../keyMap.js";
 import type { GrantReply } from "../ownershipCalls.js";
@@ -387,3 +388,87 @@
         system.dispose();
     });
 });
+
+/**
+ * Guards against a hold that outlasts the record of it: a grant waits for a connection until its timeout, and then in the queue of
+ * a link at which packets wait, which may take more than half a second.
+ */
+describe("An owner whose grants wait for a connection and then in the queue of a link", () => {
+    it.each([400, 900])("keeps its keys until the last grant that reached it has ended (%d ms)", async queueMs => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const { calls } = system;
+        const grant = calls.grant.bind(calls);
+        let taken = 0;
+        calls.grant = async (target, keys) => {
+            if (target.id !== "t1") {
+                return grant(target, keys);
+            }
+            system.clock.setTimer(GRANT_TIMEOUT_MS - 5 + queueMs, () => {
+                taken++;
+                // The target's clock runs 2% slow.
+                void grant(target, { ...keys, holdMs: keys.holdMs * 1.02 });
+            });
+            await pause(system, GRANT_TIMEOUT_MS);
+            return { type: "unanswered", detail: "no answer in time" };
+        };
+        const isMoved = () => system.assignment?.ranges.every(({ target }) => target !== "t1") === true;
+        await until(system, isMoved, 5);
+        expect(taken).toBeGreaterThan(1);
+        expect(calls.violations).toEqual([]);
+        system.dispose();
+    });
+});
+
+/** Guards against keys that stay with a former process for as long as it runs, although its target's entry names another one. */
+describe("The only target of a service that starts again at another address while its former process still answers", () => {
+    it("gets the keys of its former process", async () => {
+        const system = new AssigningInstances(["t1"]);
+        system.start("a1");
+        await system.advance(12_000);
+        expect(system.heldShare()).toBe(1);
+        system.putTarget("t1", { startedAtMs: 2, address: "elsewhere:80" });
+        await system.advance(60_000);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.assignment?.ranges.map(({ address }) => address)).toEqual(["elsewhere:80"]);
+        system.dispose();
+    });
+});
+
+/** Guards against a move that never ends, and against grants of it that put off the end of the receiver's other grants. */
+describe("A target that answers nothing while its entry is there", () => {
+    it("loses its keys although others are being moved to it", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        const { calls } = system;
+        const release = calls.release.bind(calls);
+        calls.release = async (target, keys) => {
+            const reply = await release(target, keys);
+            if (target.id === "t3") {
+                // Work on the keys of the draining target ends, and a part of them goes to `t1`.
+                await pause(system, 300);
+                calls.silent.add("t1:80");
+            }
+            return reply;
+        };
+        system.putTarget("t3", { draining: true });
+        await until(system, () => calls.silent.has("t1:80"));
+        await system.advance(60_000);
+        expect(calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+
+    it("doesn't keep keys of sound targets that are moved to it after it has lost its own", async () => {
+        const system = new AssigningInstances(["t1", "t2", "t3"]);
+        system.start("a1");
+        await system.advance(12_000);
+        system.calls.silent.add("t1:80");
+        await system.advance(60_000);
+        expect(system.calls.violations).toEqual([]);
+        expect(system.heldShare()).toBe(1);
+        system.dispose();
+    });
+});
