Answer held calls at once in the test of a follower that lists after a failure

With a wait of 0 ms the stand-in answers in the next turn of the event loop. The checks are the same; without the fix of the case still fails.

--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -124,7 +124,11 @@
             store.latestVersion - after > 100
                 ? Promise.resolve(err({ type: "platform-unknown", detail: "timeout" }))
                 : changes(table, after, ...rest);
-        const { follower, rows, regained } = createFollower(store, clock, { pauseMs: 0, listsAfterFailure: true });
+        const { follower, rows, regained } = createFollower(store, clock, {
+            pauseMs: 0,
+            waitMs: 0,
+            listsAfterFailure: true,
+        });
         await advanceInSteps(clock, 100);
         store.fault = "answer-lost";
         await advanceInSteps(clock, 2_000);
