Count grants by their reply and failed attempts by their kind, and log owners without a grant

A grant without an answer was neither logged nor counted, and failed attempts were only in the lines of some requests. Logic is unchanged.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -286,6 +286,7 @@
             admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
             isFirstStart: options.isFirstStart,
+            grantEnded: (service, reply) => this.metrics.counter("grants_total", { service, reply }).add(),
         });
         this.log = new RequestLog({
             clock,
@@ -325,6 +326,8 @@
             targetHeaders: platform.targetHeaders,
             factsOf: platform.factsOf,
             addressLost: ({ listed }) => this.assigners.addressLost(listed),
+            attemptFailed: (service, type, wasSent) =>
+                this.metrics.counter("attempt_failures_total", { service, type, sent: String(wasSent) }).add(),
             excessiveAnswer: (request, target, part, detail) => this.excessiveAnswer(request, target, part, detail),
             brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
             refusedConnection: target => this.suspects.targetEnded(target.id),
@@ -601,6 +604,10 @@
             storeSilentMs: this.storeSilentMs(),
             storeEra: Math.max(...this.followers.map(({ latestEra }) => latestEra)),
             isAssigner: this.assigners.lease.isHeld(),
+            ownersWithoutGrant: [...this.assigners.ownerGrants()].map(([service, { failing }]) => ({
+                service,
+                owners: failing.length,
+            })),
             targets: [...this.targets.all()].map(target => ({
                 service: target.listed.entry.service,
                 target: target.id,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -13,6 +13,8 @@
     /** Era of the store; 0 while unknown. */
     storeEra: number;
     isAssigner: boolean;
+    /** Owners that didn't take their last grant, by service, as far as this instance assigns keys. */
+    ownersWithoutGrant: Iterable<{ service: string; owners: number }>;
     targets: Iterable<{ service: string; target: string; inFlight: number; limit: number | undefined }>;
     retries: Iterable<{ service: string; available: number }>;
 }
@@ -43,6 +45,8 @@
     private readonly cells = new Map<string, ServiceCells>();
     /** Targets that have stated a limit. */
     private readonly limited = new Set<string>();
+    /** Services whose keys this instance has assigned. */
+    private readonly assigned = new Set<string>();
 
     constructor(
         private readonly metrics: Metrics,
@@ -93,12 +97,18 @@
     }
 
     private collect(): void {
-        const { configVersion, storeSilentMs, storeEra, isAssigner, targets, retries } = this.options.state();
+        const { configVersion, storeSilentMs, storeEra, isAssigner, targets, retries, ownersWithoutGrant } =
+            this.options.state();
         this.metrics.gauge("bundle_version", { domain: this.options.domain }).set(configVersion);
         this.metrics.gauge("platform_up", {}).set(storeSilentMs < STORE_DOWN_MS ? 1 : 0);
         this.metrics.gauge("platform_silence_seconds", {}).set(storeSilentMs / 1_000);
         this.metrics.gauge("store_era", {}).set(storeEra);
         this.metrics.gauge("key_assigner", {}).set(isAssigner ? 1 : 0);
+        const failing = new Map([...ownersWithoutGrant].map(({ service, owners }) => [service, owners]));
+        failing.forEach((_, service) => this.assigned.add(service));
+        for (const service of this.assigned) {
+            this.metrics.gauge("owners_without_grant", { service }).set(failing.get(service) ?? 0);
+        }
         for (const { service, target, inFlight, limit } of targets) {
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -68,6 +68,13 @@
 /** What shows that the former owner of keys holds them no more; `docs/OPERATIONS.md` explains each. */
 type EndOfHold = "no-owner" | "released" | "process-ended" | "other-target" | "expired" | "inherited-expired";
 
+/** The owners of a service's keys by whether they take their grants. */
+export interface OwnerGrants {
+    owners: DirectoryTarget[];
+    /** Owners that didn't take their last grant. */
+    failing: DirectoryTarget[];
+}
+
 interface QueuedChange {
     /** Changes the ranges; `fence` is the fencing token of the transaction. */
     apply: (ranges: KeyRange[], fence: number) => KeyRange[];
@@ -108,6 +115,8 @@
     private balancedAt: number;
     /** Monotonic time in milliseconds until which a target may hold keys that an earlier assigner granted. */
     private inheritedUntil = Infinity;
+    /** Number of owners without their last grant that was logged last. */
+    private loggedFailures = 0;
 
     constructor(
         private readonly options: {
@@ -138,6 +147,8 @@
             leavingStated: (target: DirectoryTarget) => void;
             /** Called when another target has answered at a target's address. */
             addressLost: (target: DirectoryTarget) => void;
+            /** Called with the reply to each grant and renewal. */
+            grantEnded?: (reply: GrantReply["type"]) => void;
             holdMs?: number;
         },
     ) {
@@ -169,6 +180,15 @@
         this.queue.splice(0).forEach(({ settle }) => settle(undefined));
     }
 
+    /** The owners of keys, and those among them that didn't take their last grant. */
+    ownerGrants(): OwnerGrants {
+        const owners = [...this.owners().keys()].filter(({ ended }) => !ended);
+        return {
+            owners: owners.map(({ listed }) => listed),
+            failing: owners.filter(({ grants }) => grants.isFailing()).map(({ listed }) => listed),
+        };
+    }
+
     /** Resolves when all grants in progress have been answered or have timed out. */
     async settled(): Promise<void> {
         await Promise.all(this.grantsUnderWay);
@@ -891,6 +911,7 @@
         const call = calls.grant({ id, address }, { from, to, fence, holdMs, handover }, GRANT_TIMEOUT_MS);
         this.grantsUnderWay.add(call);
         const reply = await call.finally(() => this.grantsUnderWay.delete(call));
+        this.options.grantEnded?.(reply.type);
         const now = clock.monotonicMs();
         if ("isCopyOutstanding" in reply && reply.isCopyOutstanding === true) {
             target.grants.unanswered(now);
@@ -932,6 +953,7 @@
             return;
         }
         this.observe();
+        this.logFailures();
         const now = this.options.clock.monotonicMs();
         const owners = this.owners();
         const isStranded = this.isStranded(owners, now);
@@ -945,6 +967,20 @@
         }
     }
 
+    /** Logs how many owners don't take their grants when that has changed. */
+    private logFailures(): void {
+        const { owners, failing } = this.ownerGrants();
+        if (failing.length === this.loggedFailures) {
+            return;
+        }
+        this.loggedFailures = failing.length;
+        const { logger, service } = this.options;
+        logger.warn(`${failing.length} of ${owners.length} owners didn't take their last grant.`, {
+            service,
+            failing: failing.map(({ entry }) => entry.id).join(","),
+        });
+    }
+
     /** Renews the grants of an owner, except for keys that are being moved. Resolves to whether each one was taken. */
     private renew(tracked: TrackedTarget, owned = this.owners().get(tracked)): Promise<boolean[]> {
         const moving = [...this.moving];
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -5,9 +5,9 @@
 import { AssignerLease } from "./assignerLease.js";
 import type { GatewayTargets } from "./gatewayTargets.js";
 import { DEFAULT_HOLD_MS } from "./grantRecord.js";
-import { KeyAssigner } from "./keyAssigner.js";
+import { KeyAssigner, type OwnerGrants } from "./keyAssigner.js";
 import type { LimitAdmitter } from "./limitAdmitter.js";
-import type { OwnershipCalls } from "./ownershipCalls.js";
+import type { GrantReply, OwnershipCalls } from "./ownershipCalls.js";
 import type { RowStore } from "./rowStore.js";
 import type { SharedLoad } from "./sharedLoad.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
@@ -45,6 +45,8 @@
             admitter: LimitAdmitter;
             /** Maximum time for which targets may be granted keys, in milliseconds. */
             maxHoldMs: number;
+            /** Called with the reply to each grant and renewal. */
+            grantEnded?: (service: string, reply: GrantReply["type"]) => void;
         },
     ) {
         const { store, instance, peerAddress, clock, logger, isFirstStart } = options;
@@ -94,6 +96,11 @@
         this.options.targets.directory.addressLost(listed);
     }
 
+    /** The owners of keys by service, as far as this instance assigns them. */
+    ownerGrants(): ReadonlyMap<string, OwnerGrants> {
+        return new Map([...this.assigners].map(([service, assigner]) => [service, assigner.ownerGrants()]));
+    }
+
     /** Releases the lease once all calls made under it have ended. */
     async release(): Promise<void> {
         await this.lease.release(async () => {
@@ -121,6 +128,7 @@
             weights: () => load.weights(service),
             leavingStated,
             addressLost: listed => this.addressLost(listed),
+            grantEnded: reply => this.options.grantEnded?.(service, reply),
             holdMs: Math.min(DEFAULT_HOLD_MS, maxHoldMs),
         });
     }
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -67,6 +67,21 @@
         help: "Requests per second that the target states that it takes from all instances together; infinite once it states none.",
         labels: ["service", "target"],
     },
+    attempt_failures_total: {
+        type: "counter",
+        help: "Requests sent to a target, or to be sent, that got no complete answer, by the kind of failure (`type`) and whether they were sent.",
+        labels: ["service", "type", "sent"],
+    },
+    grants_total: {
+        type: "counter",
+        help: "Grants and renewals by the reply of the target: `granted`, `unanswered`, `refused` (no process listens), `other-target`, `outdated` or `invalid`.",
+        labels: ["service", "reply"],
+    },
+    owners_without_grant: {
+        type: "gauge",
+        help: "Owners of keys that didn't take their last grant, on the instance that assigns keys.",
+        labels: ["service"],
+    },
     stalls_total: { type: "counter", help: "Times that the event loop of a gateway stalled.", labels: [] },
     request_seconds: {
         type: "summary",
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -103,6 +103,8 @@
     addressLost(target: GatewayTarget): void;
     /** Called when a connection broke while a target may have run the request. */
     brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
+    /** Called when an attempt at a target has got no complete answer. */
+    attemptFailed(service: string, type: TargetFailure["type"], wasSent: boolean): void;
     /** Called when a target's answer was broken off because its content or what surrounds it was too large. */
     excessiveAnswer(request: GatewayRequest, target: GatewayTarget, part: ExcessivePart, detail: string): void;
     /** Called when no process listens on a target's address. */
@@ -532,6 +534,7 @@
                     if (!this.endAttempt(attempt)) {
                         return;
                     }
+                    this.services.attemptFailed(this.service, failure.type, attempt.wasSent);
                     if (failure.type === "excessive-framing") {
                         this.services.excessiveAnswer(this, target, "framing", failure.detail);
                     }
@@ -831,6 +834,7 @@
         const { attempt } = this;
         if (attempt !== undefined && this.endAttempt(attempt)) {
             attempt.record.end ??= `aborted: ${reason}`;
+            this.services.attemptFailed(this.service, "aborted", attempt.wasSent);
             attempt.sent?.abort(reason);
         }
     }
