--- /dev/null
+++ b/test/support/gatewayFleet.ts
@@ -0,0 +1,250 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { Agent, request as send, type IncomingMessage } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { readLogLines, type LogLine } from "../../src/commands/explainRequest.js";
+import { leaseKey, LEASE_TABLE } from "../../src/process/gateway/assignerLease.js";
+import { freePorts } from "./freePorts.js";
+import { OwningTargets, type OwningTarget } from "./owningTargets.js";
+import { TableService } from "./tableService.js";
+import { TargetLinks } from "./targetLinks.js";
+import { waitFor } from "./waitFor.js";
+
+const PROGRAM = "dist/platform/main.js";
+const ROUTE_COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "route_type",
+    "timeout_ms",
+    "target_latency_ms",
+    "priority",
+    "service",
+    "max_attempts",
+    "backends",
+];
+/** Longest time of a request, in milliseconds. */
+export const FLEET_TIMEOUT_MS = 1_500;
+const TARGET_LATENCY_MS = 500;
+
+/** Kinds of requests that a fleet serves. Keyed ones are for the service `stock`. */
+export const FLEET_KINDS = ["lookup", "move", "drawing", "order"] as const;
+export type FleetKind = (typeof FLEET_KINDS)[number];
+
+const SERVICE_OF: Record<FleetKind, string> = { lookup: "stock", move: "stock", drawing: "drawings", order: "orders" };
+const isRepeatable = (kind: FleetKind): boolean => kind === "lookup" || kind === "drawing";
+
+const configOf = (version: number): unknown => ({
+    version: `r${version}`,
+    routes: {
+        columns: ROUTE_COLUMNS,
+        rows: FLEET_KINDS.map((kind, index) => [
+            kind,
+            "shop.example",
+            `/${kind}/`,
+            isRepeatable(kind) ? "idempotent" : "non_idempotent",
+            FLEET_TIMEOUT_MS,
+            TARGET_LATENCY_MS,
+            index,
+            SERVICE_OF[kind],
+            3,
+            null,
+        ]),
+    },
+    services: {
+        columns: ["name", "health_path", "max_conns", "sharded"],
+        rows: [...new Set(Object.values(SERVICE_OF))].map(name => [
+            name,
+            "/healthz",
+            130,
+            name === "stock" ? true : null,
+        ]),
+    },
+    limits: { max_header_bytes: 16384, max_body_bytes: 100000, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+});
+
+/** Answer of a gateway; status 0 if the connection ended without a complete one. */
+export interface FleetAnswer {
+    id: string;
+    status: number;
+    headers: IncomingMessage["headers"];
+    body: string;
+}
+
+/** A gateway process of a fleet. */
+export interface FleetMember {
+    name: string;
+    domain: string;
+    port: number;
+    metricsPort: number;
+    links: TargetLinks;
+    lines(): LogLine[];
+    signal(name: NodeJS.Signals): void;
+}
+
+/** Gateways as processes with one store and targets. Each reaches the targets through proxies of its own. */
+export class GatewayFleet {
+    readonly store = new TableService();
+    readonly targets = new OwningTargets();
+    readonly members: FleetMember[] = [];
+    private readonly folder = mkdtempSync(join(tmpdir(), "fleet-"));
+    private readonly children: ChildProcess[] = [];
+    private readonly agent = new Agent({ keepAlive: true });
+    private nextRequest = 0;
+
+    /** Starts targets and gateways, given by the failure domain of each, and waits until all kinds of requests are served. */
+    static async start(options: {
+        gateways: readonly string[];
+        targets?: Partial<Record<"stock" | "drawings" | "orders", readonly string[]>>;
+    }): Promise<GatewayFleet> {
+        const fleet = new GatewayFleet();
+        await fleet.store.start();
+        fleet.configure(1);
+        const {
+            stock = ["linz", "wels", "linz", "wels"],
+            drawings = ["linz", "wels"],
+            orders = ["linz", "wels"],
+        } = options.targets ?? {};
+        for (const [service, domains] of Object.entries({ stock, drawings, orders })) {
+            for (const [index, domain] of domains.entries()) {
+                await fleet.addTarget(`${service}-${index}`, service, domain);
+            }
+        }
+        for (const [index, domain] of options.gateways.entries()) {
+            await fleet.addMember(`a${index}`, domain);
+        }
+        await waitFor(async () => await fleet.servesAll());
+        return fleet;
+    }
+
+    /** Writes a version of the config. */
+    configure(version: number): void {
+        this.store.rows.put("op", "config", configOf(version));
+    }
+
+    async addTarget(id: string, service: string, domain: string): Promise<OwningTarget> {
+        const target = await this.targets.add(id, service, domain, service === "stock");
+        await Promise.all(this.members.map(({ links }) => links.add(target.address)));
+        this.store.rows.put("servers", id, this.targets.entryOf(target));
+        return target;
+    }
+
+    /** Name of the member that holds the lease for assigning keys. */
+    holder(): string {
+        return (this.store.rows.read(LEASE_TABLE, leaseKey(0)) as { instance: string }).instance;
+    }
+
+    member(name: string): FleetMember {
+        const member = this.members.find(other => other.name === name);
+        if (member === undefined) {
+            throw new Error(`There is no member ${name}.`);
+        }
+        return member;
+    }
+
+    /** Sends one request on a kept connection, or on a new one if there is none. */
+    request(
+        { port }: Pick<FleetMember, "port">,
+        kind: FleetKind,
+        options: { key?: number; body?: string; headers?: Record<string, string>; signal?: AbortSignal } = {},
+    ): Promise<FleetAnswer> {
+        const id = `r${this.nextRequest++}`;
+        const { key = Math.floor(Math.random() * 65_536), body = "", headers = {}, signal } = options;
+        return new Promise(resolve => {
+            const fail = () => resolve({ id, status: 0, headers: {}, body: "" });
+            const sent = send(
+                {
+                    host: "127.0.0.1",
+                    port,
+                    agent: this.agent,
+                    signal,
+                    method: isRepeatable(kind) ? "GET" : "POST",
+                    path: `/${kind}/${id}`,
+                    headers: {
+                        host: "shop.example",
+                        "x-request-id": id,
+                        "x-deadline-ms": "3000",
+                        "x-shard-key": String(key),
+                        ...(body === "" ? {} : { "content-length": String(Buffer.byteLength(body)) }),
+                        ...headers,
+                    },
+                },
+                response => {
+                    let text = "";
+                    response.on("data", chunk => (text += String(chunk)));
+                    response.on("error", fail);
+                    response.on("end", () =>
+                        resolve({ id, status: response.statusCode ?? 0, headers: response.headers, body: text }),
+                    );
+                },
+            );
+            sent.on("error", fail);
+            sent.end(body);
+        });
+    }
+
+    /** Text of a member's metrics. */
+    async metrics({ metricsPort }: Pick<FleetMember, "metricsPort">): Promise<string> {
+        return (await fetch(`http://127.0.0.1:${metricsPort}/metrics`)).text();
+    }
+
+    async dispose(): Promise<void> {
+        this.children.forEach(child => child.kill("SIGKILL"));
+        this.agent.destroy();
+        await Promise.all(this.members.map(({ links }) => links.dispose()));
+        await this.targets.dispose();
+        this.store.dispose();
+        rmSync(this.folder, { recursive: true });
+    }
+
+    private async addMember(name: string, domain: string): Promise<void> {
+        const links = new TargetLinks(join(this.folder, `${name}.json`));
+        for (const { address } of this.targets.targets) {
+            await links.add(address);
+        }
+        const [port, readiness, metricsPort, peers] = await freePorts(4);
+        const settings = join(this.folder, `${name}.toml`);
+        writeFileSync(
+            settings,
+            `node_name = "${name}"
+zone = "${domain}"
+ip = "127.0.0.1"
+port_range = [${peers},${peers}]
+bounds = ["grace_s=4","drain_ms=2000","hold_max_ms=10000"]
+[listen]
+frontend = "127.0.0.1:${port}"
+readiness = "127.0.0.1:${readiness}"
+[platform]
+address = "127.0.0.1:${this.store.port}"
+`,
+        );
+        const args = [
+            "--import",
+            "./test/support/redirectConnections.mjs",
+            PROGRAM,
+            "--metrics-port",
+            String(metricsPort),
+        ];
+        const child = spawn(process.execPath, args, {
+            env: {
+                PATH: process.env.PATH,
+                SASSAFRASLOOM_CONFIG: settings,
+                REDIRECTIONS: join(this.folder, `${name}.json`),
+            },
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        this.children.push(child);
+        let output = "";
+        child.stdout?.on("data", chunk => (output += String(chunk)));
+        const lines = () => readLogLines(output);
+        const signal = (sent: NodeJS.Signals) => void child.kill(sent);
+        this.members.push({ name, domain, port, metricsPort, links, lines, signal });
+        await waitFor(() => lines().some(({ message }) => message.includes("Started.")));
+    }
+
+    private async servesAll(): Promise<boolean> {
+        const answers = this.members.flatMap(member => FLEET_KINDS.map(kind => this.request(member, kind)));
+        return (await Promise.all(answers)).every(({ status }) => status === 200);
+    }
+}
--- a/test/support/grantedTargets.ts
+++ b/test/support/grantedTargets.ts
@@ -5,7 +5,7 @@
     OwnershipCalls,
     ReleaseReply,
 } from "../../src/process/gateway/ownershipCalls.js";
-import type { ManualClock } from "./manualClock.js";
+import type { Clock } from "../../src/process/runtime/clock.js";
 
 interface HeldKeys extends GrantedKeys {
     /** Time at which the grant expires, in milliseconds. */
@@ -25,7 +25,7 @@
     /** Keys that two targets held at the same time, and tokens that weren't above those of other targets. */
     readonly violations: string[] = [];
 
-    constructor(private readonly clock: ManualClock) {}
+    constructor(private readonly clock: Clock) {}
 
     grant({ id, address }: CalledTarget, grant: GrantedKeys & { holdMs: number }): Promise<GrantReply> {
         if (this.silent.has(address)) {
