--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -26,8 +26,8 @@
 };
 /** Maximum header section that the parser accepts, in bytes. The limit in force may be lower and can change. */
 const PARSER_HEADER_BYTES = 131_072;
-/** Maximum number of bytes of request bodies that the process buffers, for all requests together. */
-const MAX_BUFFERED_BODY_BYTES = 67_108_864;
+/** Maximum number of bytes of request bodies that the server buffers, for all requests together. */
+export const DEFAULT_MAX_BUFFERED_BYTES = 67_108_864;
 /** Interval of the check for stalled connections, in milliseconds. */
 const STALL_CHECK_INTERVAL_MS = 500;
 /** Maximum number of open connections of callers; the other file descriptors are left for targets. */
@@ -62,7 +62,7 @@
 export type CallHandler = (call: GatewayCall, reply: GatewayReply) => (end: CallerEnd) => void;
 
 /** Fields of a call that are decoded from the caller's headers. */
-export type CallFields = Pick<GatewayCall, "requestId" | "deadlineMs" | "key">;
+export type CallFields = Pick<GatewayCall, "requestId" | "deadlineMs" | "key" | "forwarded">;
 
 interface Exchange {
     cancel: (end: CallerEnd) => void;
@@ -158,7 +158,10 @@
     /** Called when a caller has left before its request was handled. */
     abandoned: () => void;
     connectionLimit?: number;
+    /** Maximum size of the request bodies that are buffered, for all requests together, in bytes. */
+    maxBufferedBytes?: number;
 }): GatewayServer => {
+    const { maxBufferedBytes = DEFAULT_MAX_BUFFERED_BYTES } = options;
     let limits = DEFAULT_CLIENT_LIMITS;
     let draining = false;
     let bufferedBytes = 0;
@@ -367,7 +370,7 @@
             );
             return;
         }
-        if (bufferedBytes + contentLength > MAX_BUFFERED_BODY_BYTES) {
+        if (bufferedBytes + contentLength > maxBufferedBytes) {
             refuseUnread(refuse("overloaded", "Too many bytes of request bodies are held.", 0.5));
             return;
         }
@@ -383,7 +386,7 @@
             chunks.push(chunk);
             bodyBytes += chunk.length;
             bufferedBytes += chunk.length;
-            if (bodyBytes > limits.bodyBytes || bufferedBytes > MAX_BUFFERED_BODY_BYTES) {
+            if (bodyBytes > limits.bodyBytes || bufferedBytes > maxBufferedBytes) {
                 isRefused = true;
                 refuseUnread(
                     bodyBytes > limits.bodyBytes
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -1,5 +1,6 @@
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../process/runtime/clock.js";
+import type { Refusal } from "../request/refusal.js";
 import { ConnectionQueue } from "./connectionQueue.js";
 import type { Header } from "./peerProtocol.js";
 import { resettingConnector } from "./resettingConnector.js";
@@ -50,11 +51,15 @@
         | "broken"
         | "aborted"
         | "connection-limit"
+        /** Another instance, to which the request was forwarded, has sent nothing of it to the target. */
+        | "not-forwarded"
         /** The head or the framing of the answer was too large. */
         | "excessive-framing";
     /** Whether the target refused the connection, which means that no process listens. */
     refused: boolean;
     detail: string;
+    /** Why another instance has sent nothing of the request, if it has stated that. */
+    refusal?: Refusal;
 }
 
 /** Controls a request that is sent to a target. */
--- a/src/process/gateway/__tests__/chooseTarget.test.ts
+++ b/src/process/gateway/__tests__/chooseTarget.test.ts
@@ -6,7 +6,7 @@
     queueLimit: 24,
     serviceMs: 100,
     failureShare: 0,
-    sameDomain: true,
+    crossings: 0,
     suspect: false,
     ...change,
 });
@@ -21,7 +21,7 @@
 
     it("keeps a large answer in its failure domain unless the wait there would be long", () => {
         const local = candidate({ load: 8 });
-        const remote = candidate({ sameDomain: false });
+        const remote = candidate({ crossings: 1 });
         expect(chooseTarget([local, remote], 90, noJitter)).toBe(local);
         const full = candidate({ load: 40 });
         expect(chooseTarget([full, remote], 90, noJitter)).toBe(remote);
@@ -29,7 +29,7 @@
 
     it("sends a request with a small answer to another domain if that avoids waiting", () => {
         const local = candidate({ load: 8 });
-        const remote = candidate({ sameDomain: false });
+        const remote = candidate({ crossings: 1 });
         expect(chooseTarget([local, remote], 0.5, noJitter)).toBe(remote);
     });
 
--- a/src/process/gateway/__tests__/intakeReplay.test.ts
+++ b/src/process/gateway/__tests__/intakeReplay.test.ts
@@ -116,6 +116,8 @@
                 targets: () => instance.targets,
                 owner: () => undefined,
                 drainMs: DRAIN_MS,
+                isOutOfReach: () => false,
+                crossings: () => undefined,
                 ownersAreFresh: () => true,
                 random,
             }),
--- a/src/process/gateway/__tests__/storeRelay.test.ts
+++ b/src/process/gateway/__tests__/storeRelay.test.ts
@@ -70,6 +70,8 @@
                         clock.setTimer(1, () => receiver.relay.receive(content, addressOf(index)));
                     }
                 },
+                domain: "linz",
+                isCutOff: () => false,
                 silent: () => instance.silences++,
             }),
             follower: new TableFollower({
--- a/src/process/gateway/chooseTarget.ts
+++ b/src/process/gateway/chooseTarget.ts
@@ -9,18 +9,19 @@
     serviceMs: number;
     /** Share of recent requests that the target failed or shed, from 0 to 1. */
     failureShare: number;
-    sameDomain: boolean;
+    /** Number of times that its answers pass from one failure domain to another. */
+    crossings: number;
     /** Whether recent calls went unanswered or another target may have its address; it is used only if there is no other. */
     suspect: boolean;
 }
 
 /**
- * Cost of a target in another failure domain for each kilobyte of the answer, in milliseconds. Transfers between domains
+ * Cost of a crossing between failure domains for each kilobyte of the answer, in milliseconds. Transfers between domains
  * are billed; with this cost, a drawing of 90 KB is fetched from another domain only if it would wait about 0.3 s longer in
  * its own.
  */
 export const CROSS_DOMAIN_MS_PER_KB = 3.5;
-/** Fixed cost of another failure domain in milliseconds, for network latency and the connection. */
+/** Fixed cost of a crossing in milliseconds, for network latency and the connection. */
 export const CROSS_DOMAIN_MS = 6;
 /** Expected extra time in milliseconds for a request that the target fails and that is retried. */
 const FAILURE_COST_MS = 350;
@@ -55,7 +56,7 @@
 /** Cost of a target in milliseconds: the expected time plus the costs of distance, failures and suspicion. */
 export const placementCost = (candidate: PlacementCandidate, answerKb: number): number => {
     const failureShare = Math.min(MAX_FAILURE_SHARE, candidate.failureShare);
-    const distanceMs = candidate.sameDomain ? 0 : CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * answerKb;
+    const distanceMs = candidate.crossings * (CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * answerKb);
     const failureMs = (failureShare / (1 - failureShare)) * FAILURE_COST_MS;
     return expectedMs(candidate) + distanceMs + failureMs + (candidate.suspect ? SUSPECT_COST_MS : 0);
 };
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,6 +1,8 @@
 import { isDeepStrictEqual } from "node:util";
+import { checkPath } from "../../connection/checkPath.js";
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
+import type { TargetFailure } from "../../connection/targetConnections.js";
 import type { AnswerFacts, CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest, type ExcessivePart, type GatewayServices } from "../../request/gatewayRequest.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
@@ -30,7 +32,9 @@
 import { LeavingExchange } from "./leavingExchange.js";
 import { LimitAdmitter } from "./limitAdmitter.js";
 import { LimitExchange, type Permit } from "./limitExchange.js";
+import { PeerForwarding } from "./peerForwarding.js";
 import { parsePeerAddress, PeerPort, type PeerAddress } from "./peerPort.js";
+import { ReachWatch } from "./reachWatch.js";
 import type { RetryLimit } from "./retryLimit.js";
 import { startReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceState } from "./requestLog.js";
@@ -129,6 +133,8 @@
     private readonly limits: LimitExchange;
     private readonly leaving: LeavingExchange;
     private readonly relay: StoreRelay;
+    private readonly reach: ReachWatch;
+    private readonly forwarding: PeerForwarding;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
@@ -162,6 +168,7 @@
             logger: loggers("bundles"),
             onChange: lookup => {
                 this.server.setLimits(lookup.config.limits);
+                this.forwarding.setLimits(lookup.config.limits);
                 this.split.reset();
                 this.assigners.update(lookup.config.services);
             },
@@ -188,6 +195,8 @@
             source: () => parsePeerAddress(this.assigners.lease.assignerAddress),
             send: (address, content) => this.peers.send(address, content),
             silent: () => this.assigners.lease.holderSilent(),
+            domain: options.domain,
+            isCutOff: () => this.reach.isCutOff,
         });
         this.peers.handle(this.relay.receive);
         this.load = new SharedLoad({
@@ -197,6 +206,16 @@
             port: this.peers,
             assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
         });
+        this.reach = new ReachWatch({
+            clock,
+            logger: loggers("dispatch"),
+            targets: () => this.targets.all(),
+            check: (address, timeoutMs) => checkPath(address, timeoutMs, clock),
+            pathCut: target => {
+                target.pathCut();
+                this.forwarding.needed();
+            },
+        });
         this.admitter = new LimitAdmitter(clock);
         this.limits = new LimitExchange({
             clock,
@@ -228,6 +247,8 @@
                 return target !== undefined && isAccepting(target.listed) ? target : undefined;
             },
             drainMs: options.drainMs,
+            isOutOfReach: target => target.reach.isCut && this.reach.isCutOff && !this.forwarding.hasPeers,
+            crossings: target => (target.reach.isCut ? this.forwarding.crossings(target) : undefined),
             ownersAreFresh: () => this.ownersFollower.isFresh,
             random: Math.random,
         });
@@ -330,7 +351,10 @@
                 this.metrics.counter("attempt_failures_total", { service, type, sent: String(wasSent) }).add(),
             excessiveAnswer: (request, target, part, detail) => this.excessiveAnswer(request, target, part, detail),
             brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
-            refusedConnection: target => this.suspects.targetEnded(target.id),
+            peerTo: (...way) => this.forwarding.peerTo(...way),
+            notForwarded: (...notForwarded) => this.forwarding.notForwarded(...notForwarded),
+            forwardingLost: peer => peer.suspect(),
+            connectionFailed: (target, failure) => this.connectionFailed(target, failure),
             ended: (request, outcome) => {
                 this.requests.delete(request);
                 if (outcome.type === "answered") {
@@ -340,6 +364,26 @@
                 this.observer.ended(request, outcome);
             },
         };
+        this.forwarding = new PeerForwarding({
+            clock,
+            logger: loggers("peers"),
+            metrics: this.metrics,
+            domain: options.domain,
+            address: options.peers,
+            port: this.peers,
+            platform,
+            isAssigning: () => this.assigners.lease.isHeld(),
+            assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
+            others: () => this.relay.peers(),
+            reach: this.reach,
+            unreadSince: () => this.stalls.unreadSince(),
+            services: {
+                ...this.services,
+                target: (id, startedAtMs) => this.targets.get(id, startedAtMs),
+                drainMs: options.drainMs,
+                isQuarantined: call => this.suspects.isQuarantined(call),
+            },
+        });
         this.stalls = new StallWatch(clock, stallMs => {
             this.metrics.counter("stalls_total", {}).add();
             loggers("daemon").warn("The event loop stalled.", { ms: Math.round(stallMs) });
@@ -380,6 +424,10 @@
         const port = await this.server.listen(callers.port, callers.host);
         this.disposables.add(this.peers);
         await this.peers.start();
+        this.disposables.add(this.forwarding);
+        await this.forwarding.start();
+        this.disposables.add(this.reach);
+        this.reach.start();
         this.disposables.add(this.load);
         this.disposables.add(this.leaving);
         this.disposables.add(this.relay);
@@ -402,12 +450,16 @@
         this.endBy(began + acceptsForMs, began + answersForMs);
         void this.assigners.release();
         const elapsedMs = () => clock.monotonicMs() - began;
-        while (elapsedMs() < acceptsForMs || (this.server.unfinished() > 0 && elapsedMs() < endsAfterMs)) {
+        this.forwarding.stop();
+        const unfinished = () => this.server.unfinished() + this.forwarding.unfinished();
+        while (elapsedMs() < acceptsForMs || (unfinished() > 0 && elapsedMs() < endsAfterMs)) {
             this.server.startDraining();
+            this.forwarding.startDraining();
             await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
         }
         this.server.closeAll();
-        while (this.server.closing() > 0 && elapsedMs() < endsAfterMs) {
+        this.forwarding.closeAll();
+        while (this.server.closing() + this.forwarding.closing() > 0 && elapsedMs() < endsAfterMs) {
             await new Promise<void>(resolve => clock.setTimer(CLOSE_STEP_MS, resolve));
         }
         loggers("daemon").info("Stopped.", { unfinished: this.server.unfinished(), ms: Math.round(elapsedMs()) });
@@ -558,6 +610,13 @@
         this.limits.learned({ id, startedAtMs, perSecond: target.limit?.perSecond, ageMs });
     }
 
+    private connectionFailed(target: GatewayTarget, { refused }: TargetFailure): void {
+        this.reach.connectionFailed(target);
+        if (refused) {
+            this.suspects.targetEnded(target.id);
+        }
+    }
+
     private excessiveAnswer(
         { call, service }: GatewayRequest,
         target: GatewayTarget,
@@ -604,6 +663,7 @@
             storeSilentMs: this.storeSilentMs(),
             storeEra: Math.max(...this.followers.map(({ latestEra }) => latestEra)),
             isAssigner: this.assigners.lease.isHeld(),
+            isCutOff: this.reach.isCutOff,
             ownersWithoutGrant: [...this.assigners.ownerGrants()].map(([service, { failing }]) => ({
                 service,
                 owners: failing.length,
@@ -612,6 +672,7 @@
                 service: target.listed.entry.service,
                 target: target.id,
                 inFlight: target.running,
+                isCut: target.reach.isCut,
                 limit: target.limit?.perSecond,
             })),
             retries: [...this.retries].map(([service, budget]) => ({ service, available: budget.available() })),
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -13,9 +13,18 @@
     /** Era of the store; 0 while unknown. */
     storeEra: number;
     isAssigner: boolean;
+    /** Whether this instance reaches no target. */
+    isCutOff: boolean;
     /** Owners that didn't take their last grant, by service, as far as this instance assigns keys. */
     ownersWithoutGrant: Iterable<{ service: string; owners: number }>;
-    targets: Iterable<{ service: string; target: string; inFlight: number; limit: number | undefined }>;
+    targets: Iterable<{
+        service: string;
+        target: string;
+        inFlight: number;
+        limit: number | undefined;
+        /** Whether the path to the target is cut. */
+        isCut: boolean;
+    }>;
     retries: Iterable<{ service: string; available: number }>;
 }
 
@@ -97,25 +106,29 @@
     }
 
     private collect(): void {
-        const { configVersion, storeSilentMs, storeEra, isAssigner, targets, retries, ownersWithoutGrant } =
-            this.options.state();
+        const state = this.options.state();
+        const { configVersion, storeSilentMs, storeEra, isAssigner, targets, retries, ownersWithoutGrant } = state;
         this.metrics.gauge("bundle_version", { domain: this.options.domain }).set(configVersion);
         this.metrics.gauge("platform_up", {}).set(storeSilentMs < STORE_DOWN_MS ? 1 : 0);
         this.metrics.gauge("platform_silence_seconds", {}).set(storeSilentMs / 1_000);
         this.metrics.gauge("store_era", {}).set(storeEra);
         this.metrics.gauge("key_assigner", {}).set(isAssigner ? 1 : 0);
+        this.metrics.gauge("cut_off", {}).set(state.isCutOff ? 1 : 0);
         const failing = new Map([...ownersWithoutGrant].map(({ service, owners }) => [service, owners]));
         failing.forEach((_, service) => this.assigned.add(service));
         for (const service of this.assigned) {
             this.metrics.gauge("owners_without_grant", { service }).set(failing.get(service) ?? 0);
         }
-        for (const { service, target, inFlight, limit } of targets) {
+        const cutPaths = new Map<string, number>();
+        for (const { service, target, inFlight, limit, isCut } of targets) {
+            cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
                 this.limited.add(target);
                 this.metrics.gauge("target_stated_limit", { service, target }).set(limit ?? Infinity);
             }
         }
+        cutPaths.forEach((cut, service) => this.metrics.gauge("cut_paths", { service }).set(cut));
         for (const { service, available } of retries) {
             this.metrics.gauge("retry_budget_tokens", { service }).set(available);
         }
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -7,6 +7,7 @@
 import { ServiceProfile } from "./serviceProfile.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 import type { StatedLimit } from "./targetIntake.js";
+import { TargetReach } from "./targetReach.js";
 
 /** Weight of the newest sample in moving averages of times and failures. */
 const SAMPLE_WEIGHT = 0.12;
@@ -32,6 +33,8 @@
 /** This instance's view of one target: its connections, load, speed and failures. */
 export class GatewayTarget {
     readonly connections: TargetConnections;
+    /** What is known of the direct path to it. */
+    readonly reach: TargetReach;
     private inFlight = 0;
     private reported: { load: ReportedLoad; at: number; ownInFlight: number } | undefined;
     private serviceMs = 0;
@@ -54,6 +57,7 @@
         private readonly profile = new ServiceProfile(),
     ) {
         this.connections = new TargetConnections(listed.entry.address, clock, { limit: connectionLimit });
+        this.reach = new TargetReach(clock);
         this.warmUntil = clock.monotonicMs() + listed.entry.warmupLeftMs;
     }
 
@@ -111,8 +115,11 @@
         this.reported = { load, at: this.clock.monotonicMs(), ownInFlight: this.inFlight };
     }
 
-    /** Updates the estimates by an answer that took `durationMs` milliseconds with `loadAtStart` requests ahead of it. */
-    answered(durationMs: number, loadAtStart: number): void {
+    /**
+     * Updates the estimates by an answer that took `durationMs` milliseconds with `loadAtStart` requests ahead of it. One that came
+     * through another instance is reported by that instance.
+     */
+    answered(durationMs: number, loadAtStart: number, isForwarded = false): void {
         const slots = Math.max(1, this.listed.entry.slots);
         // Most of the load at the start may be that of other instances, which only the answer reports.
         const load = Math.max(loadAtStart + 1, this.reportedLoad());
@@ -122,8 +129,10 @@
         this.serviceMs += (sample - this.serviceMs) * weight;
         this.samples++;
         this.profile.answered(sample);
-        this.unreported.answers++;
-        this.unreported.serviceMs += sample;
+        if (!isForwarded) {
+            this.unreported.answers++;
+            this.unreported.serviceMs += sample;
+        }
         this.lastAnswerAt = this.clock.monotonicMs();
         this.unanswered = 0;
         this.suspectUntil = -Infinity;
@@ -166,9 +175,13 @@
 
     /**
      * Counts a failed connection, or a request without an answer. The target is avoided for a while, unless it has answered
-     * other requests since `startedAt`: then it is merely slow, or a single answer was lost.
+     * other requests since `startedAt`: then it is merely slow, or a single answer was lost. A cut of the path since then explains
+     * it, too, and says nothing about the target.
      */
     unansweredCall(startedAt: number): void {
+        if (this.reach.wasCutAfter(startedAt)) {
+            return;
+        }
         this.countFailure(1);
         if (this.lastAnswerAt > startedAt) {
             return;
@@ -178,6 +191,12 @@
         this.suspectUntil = this.clock.monotonicMs() + durationMs;
     }
 
+    /** Ends the suspicion that followed from a path that was found to be cut. */
+    pathCut(): void {
+        this.unanswered = 0;
+        this.suspectUntil = -Infinity;
+    }
+
     /** Requests running or waiting at the target, as far as this instance knows. */
     load(): number {
         const { reported } = this;
@@ -207,8 +226,12 @@
               };
     }
 
-    /** Input for the choice among targets. */
-    candidate(): PlacementCandidate & { target: GatewayTarget } {
+    /**
+     * Input for the choice among targets.
+     *
+     * @param crossings number of times that its answers pass from one failure domain to another
+     */
+    candidate(crossings = this.sameDomain ? 0 : 1): PlacementCandidate & { target: GatewayTarget } {
         const isWarm = this.clock.monotonicMs() >= this.warmUntil;
         return {
             target: this,
@@ -217,7 +240,7 @@
             serviceMs: this.estimatedServiceMs() * (isWarm || this.samples > 0 ? 1 : WARMUP_FACTOR),
             queueLimit: this.profile.queueLimit(this.listed.entry.slots),
             failureShare: this.currentFailureShare(),
-            sameDomain: this.sameDomain,
+            crossings,
             suspect: this.isSuspect() || this.listed.claimed,
         };
     }
--- a/src/process/gateway/relayMessage.ts
+++ b/src/process/gateway/relayMessage.ts
@@ -35,8 +35,14 @@
 export type RelayedChanges = z.infer<typeof relayedChangesSchema>;
 
 const relayMessageSchema = z.discriminatedUnion("type", [
-    /** Asks for the changes that the receiver reads. */
-    z.object({ type: z.literal("relay-follow") }),
+    /** Asks for the changes that the receiver reads, and makes the sender known to it. */
+    z.object({
+        type: z.literal("relay-follow"),
+        /** Failure domain of the sender. */
+        domain: z.string().optional(),
+        /** Whether the sender reaches no target. */
+        isCutOff: z.boolean().optional(),
+    }),
     z.object({ type: z.literal("relay"), tables: z.array(relayedChangesSchema).min(1) }),
 ]);
 /** A message about changes of the store. */
--- a/src/process/gateway/requestLog.ts
+++ b/src/process/gateway/requestLog.ts
@@ -27,10 +27,11 @@
     leaving: string | undefined;
 }
 
-const attemptText = ({ target, startedMs, durationMs, load, end, next }: AttemptRecord): string => {
+const attemptText = ({ target, through, startedMs, durationMs, load, end, next }: AttemptRecord): string => {
     const duration = durationMs === undefined ? "" : ` +${Math.round(durationMs)}`;
     const decision = next === undefined ? "" : ` -> ${next}`;
-    return `${target} @${Math.round(startedMs)}${duration} ms, load ${load}: ${end ?? "no answer"}${decision}`;
+    const way = through === undefined ? "" : ` through ${through}`;
+    return `${target}${way} @${Math.round(startedMs)}${duration} ms, load ${load}: ${end ?? "no answer"}${decision}`;
 };
 
 const endText = (outcome: RequestOutcome): string => {
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -3,6 +3,7 @@
 import { DisposableStore } from "../runtime/disposableStore.js";
 import type { Logger } from "../observability/logger.js";
 import type { DatagramHandler, PeerAddress } from "./peerPort.js";
+import type { Peer } from "./peersMessage.js";
 import {
     decodeRelayMessage,
     encodeRelayMessage,
@@ -27,6 +28,16 @@
 /** Time without any message after which the relay counts as silent, in milliseconds; some keepalives may be lost. */
 const SILENCE_MS = 3 * KEEPALIVE_MS;
 
+/** An instance that gets changes. */
+interface Follower {
+    address: PeerAddress;
+    /** Monotonic time in milliseconds at which it last asked. */
+    askedAt: number;
+    /** Its failure domain, if it states one. */
+    domain: string | undefined;
+    isCutOff: boolean;
+}
+
 /** A table that the relay covers. */
 export interface RelayedTable {
     /** Whether its content is known, and the store's last call has not failed. */
@@ -43,14 +54,14 @@
  * itself: the relay saves calls and isn't needed for any decision.
  *
  * @example
- * const relay = new StoreRelay({ clock, logger, isSource, source, send, silent });
+ * const relay = new StoreRelay({ clock, logger, isSource, source, send, silent, domain, isCutOff });
  * relay.cover("servers", follower);
  * relay.start();
  */
 export class StoreRelay {
     private readonly tables = new Map<string, { table: RelayedTable; stream: RelayStream }>();
-    /** Instances that get changes by address, with the monotonic time in milliseconds at which they last asked. */
-    private readonly followers = new Map<string, { address: PeerAddress; askedAt: number }>();
+    /** Instances that get changes, by address. */
+    private readonly followers = new Map<string, Follower>();
     private readonly disposables = new DisposableStore();
     private heardAt = -Infinity;
     private wasHeard = false;
@@ -68,9 +79,20 @@
             send: (address: PeerAddress, content: Buffer) => void;
             /** Called when no messages come any more; the source may have changed. */
             silent: () => void;
+            /** Failure domain of this instance. */
+            domain: string;
+            /** Whether this instance reaches no target. */
+            isCutOff: () => boolean;
         },
     ) {}
 
+    /** The instances that get changes from this one and reach targets. */
+    peers(): Peer[] {
+        return [...this.followers.values()].flatMap(({ address, domain, isCutOff }) =>
+            domain === undefined || isCutOff ? [] : [{ address, domain }],
+        );
+    }
+
     /** Whether this instance passes changes on to others. */
     get isSending(): boolean {
         return this.followers.size > 0 && this.options.isSource();
@@ -122,17 +144,18 @@
         }
         const key = `${sender.host}:${sender.port}`;
         if (this.followers.has(key) || this.followers.size < MAX_FOLLOWERS) {
-            this.followers.set(key, { address: sender, askedAt: now });
+            const { domain, isCutOff = false } = message;
+            this.followers.set(key, { address: sender, askedAt: now, domain, isCutOff });
         }
         return true;
     };
 
     /** Asks the source for changes, and notices when it is silent. */
     private follow(): void {
-        const { logger, source, send, silent } = this.options;
+        const { logger, source, send, silent, domain, isCutOff } = this.options;
         const address = source();
         if (address !== undefined) {
-            send(address, encodeRelayMessage({ type: "relay-follow" }));
+            send(address, encodeRelayMessage({ type: "relay-follow", domain, isCutOff: isCutOff() || undefined }));
         }
         if (this.wasHeard && !this.isHeard) {
             logger.warn("Changes of the store are no longer relayed; reading the store.", {});
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -44,6 +44,10 @@
             owner: (id: string, startedAtMs: number) => GatewayTarget | undefined;
             /** Time for which a leaving target may get requests, in milliseconds. */
             drainMs: number;
+            /** Whether neither this instance nor another one is known to reach a target. */
+            isOutOfReach: (target: GatewayTarget) => boolean;
+            /** Number of times that answers of a target pass from one failure domain to another; `undefined` if they come directly. */
+            crossings: (target: GatewayTarget) => number | undefined;
             /** Whether the known owners are up to date with the store. */
             ownersAreFresh: () => boolean;
             random: () => number;
@@ -67,7 +71,11 @@
             return this.view
                 .targets(query.service)
                 .some(
-                    target => !query.tried.has(target) && !query.limited.has(target) && this.takes(target, query.call),
+                    target =>
+                        !query.tried.has(target) &&
+                        !query.limited.has(target) &&
+                        !this.view.isOutOfReach(target) &&
+                        this.takes(target, query.call),
                 );
         }
         const owner = this.ownerOf(query);
@@ -114,7 +122,7 @@
         if (query.notOwners.has(owner)) {
             return { type: "wait", maxWaitMs: MOVE_WAIT_MS };
         }
-        if (owner.isSuspect() || query.unreached.has(owner)) {
+        if (owner.isSuspect() || query.unreached.has(owner) || this.view.isOutOfReach(owner)) {
             return this.waitIfStale(
                 this.refusal("owner-unreachable", `Owner ${owner.id} can't be reached.`, NO_OWNER_PAUSE_S),
             );
@@ -132,7 +140,7 @@
 
     private placeAnywhere(query: PlacementQuery): Placement {
         const targets = this.view.targets(query.service);
-        const untried = targets.filter(target => !query.tried.has(target));
+        const untried = targets.filter(target => !query.tried.has(target) && !this.view.isOutOfReach(target));
         const intakes = (type: Intake["type"]) =>
             untried.filter(target => this.intakeOf(target, query.call).type === type);
         const open = this.placeAmong(intakes("open"), query);
@@ -171,7 +179,7 @@
     private choose(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
         const { route } = query;
         const answerKb = this.answerKb.get(route.name) ?? (route.bulk ? INITIAL_BULK_ANSWER_KB : INITIAL_ANSWER_KB);
-        const candidates = targets.map(target => target.candidate());
+        const candidates = targets.map(target => target.candidate(this.view.crossings(target)));
         const chosen = chooseTarget(candidates, answerKb, this.view.random);
         return chosen === undefined ? undefined : this.admitOrRefuse(chosen.target, query);
     }
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -72,6 +72,17 @@
         help: "Requests sent to a target, or to be sent, that got no complete answer, by the kind of failure (`type`) and whether they were sent.",
         labels: ["service", "type", "sent"],
     },
+    forwarded_requests_total: {
+        type: "counter",
+        help: "Requests that this instance sent through others (`sent`), or took from others and sent to targets (`taken`), by `direction` and outcome: `answered`, `not-sent`, `lost` or `caller-gone`.",
+        labels: ["direction", "outcome"],
+    },
+    cut_paths: {
+        type: "gauge",
+        help: "Targets of the service to which the path of this instance is cut.",
+        labels: ["service"],
+    },
+    cut_off: { type: "gauge", help: "1 while this instance reaches no target, else 0.", labels: [] },
     grants_total: {
         type: "counter",
         help: "Grants and renewals by the reply of the target: `granted`, `unanswered`, `refused` (no process listens), `other-target`, `outdated` or `invalid`.",
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -1,4 +1,5 @@
 import type { Header } from "../connection/peerProtocol.js";
+import type { ForwardFields } from "./forwardFields.js";
 import type { Refusal } from "./refusal.js";
 
 /** A caller's request as received, with its complete body. */
@@ -15,6 +16,8 @@
     /** Time that the caller waits for an answer, from the arrival of the request, in milliseconds. */
     deadlineMs: number | undefined;
     key: number | undefined;
+    /** What the instance that took the request has decided, if another one forwards it to this instance. */
+    forwarded?: ForwardFields;
     /** Monotonic time in milliseconds at which the first byte of the request was read. */
     arrivedAt: number;
 }
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -1,12 +1,15 @@
-import type { SentRequest, TargetFailure } from "../connection/targetConnections.js";
+import type { SentRequest, TargetAnswer, TargetFailure } from "../connection/targetConnections.js";
 import type { Header } from "../connection/peerProtocol.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
+import type { ForwardingPeer } from "../process/gateway/forwardingPeer.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Permit } from "../process/gateway/limitExchange.js";
 import type { StatedLimit } from "../process/gateway/targetIntake.js";
+import type { PathAttempt } from "../process/gateway/targetReach.js";
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
+import { maxIdleMs, RUN_OUT_MS } from "./attemptLimits.js";
 import { decideConnectionWait } from "./decideConnectionWait.js";
 import { decideAfterAttempt, type AttemptEnd, type NextStep, type RetryCause } from "./decideAfterAttempt.js";
 import {
@@ -18,6 +21,7 @@
     type GatewayCall,
     type GatewayReply,
 } from "./gatewayCall.js";
+import type { ForwardFields } from "./forwardFields.js";
 import type { HeldAnswer, HeldAnswers } from "./heldAnswers.js";
 import { maxOwnerWaitMs } from "./maxOwnerWaitMs.js";
 import { delayField, refuse, type Refusal } from "./refusal.js";
@@ -25,15 +29,6 @@
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
-/**
- * Time after the deadline for which a target may still run a request that can't be repeated and whose caller has gone, in
- * milliseconds.
- */
-const RUN_OUT_MS = 1_000;
-/** Maximum idle time of a connection that is used for a request that can't be repeated, in milliseconds. */
-const NON_IDEMPOTENT_MAX_IDLE_MS = 3_000;
-/** Maximum idle time of a connection that is used for a request that can be repeated, in milliseconds. */
-const IDEMPOTENT_MAX_IDLE_MS = 8_000;
 /** Share of a route's target latency that the service time is assumed to take. */
 const EXPECTED_SERVICE_SHARE = 0.25;
 /** Share of the time left after which an idempotent request without any answer is sent to another target. */
@@ -107,8 +102,21 @@
     attemptFailed(service: string, type: TargetFailure["type"], wasSent: boolean): void;
     /** Called when a target's answer was broken off because its content or what surrounds it was too large. */
     excessiveAnswer(request: GatewayRequest, target: GatewayTarget, part: ExcessivePart, detail: string): void;
-    /** Called when no process listens on a target's address. */
-    refusedConnection(target: GatewayTarget): void;
+    /**
+     * The other instance through which a request is sent to a target to which the path is cut; `undefined` if the path isn't cut, or
+     * there is no instance but those that were tried.
+     */
+    peerTo(
+        target: GatewayTarget,
+        tried: ReadonlySet<ForwardingPeer>,
+        isIdempotent: boolean,
+    ): ForwardingPeer | undefined;
+    /** Called when another instance hasn't sent a request to a target; `isLast` if no further one is tried. */
+    notForwarded(target: GatewayTarget, peer: ForwardingPeer, failure: TargetFailure, isLast: boolean): void;
+    /** Called when a request that was sent through another instance has got no answer. */
+    forwardingLost(peer: ForwardingPeer): void;
+    /** Called when a connection to a target couldn't be established. */
+    connectionFailed(target: GatewayTarget, failure: TargetFailure): void;
     /** Called once when the request has ended. */
     ended(request: GatewayRequest, outcome: RequestOutcome): void;
 }
@@ -141,6 +149,8 @@
     durationMs?: number;
     /** Assumed number of requests at the target before this one. */
     load: number;
+    /** Address of the instance through which it was sent, unless it was sent directly. */
+    through?: string;
     /** How it ended. */
     end?: string;
     /** Step that was chosen after its end. */
@@ -158,6 +168,10 @@
     loadAtStart: number;
     wasSent: boolean;
     hasEnded: boolean;
+    /** The instance through which it is sent; `undefined` on the direct path. */
+    peer: ForwardingPeer | undefined;
+    /** The attempt as it is observed on the direct path. */
+    path: PathAttempt | undefined;
     /** Content of the answer until it is complete or forwarded. */
     held: HeldAnswer;
 }
@@ -178,6 +192,8 @@
     private readonly tried = new Set<GatewayTarget>();
     private readonly unreached = new Set<GatewayTarget>();
     private readonly notOwners = new Set<GatewayTarget>();
+    /** Instances that didn't forward it, or answered nothing. */
+    private readonly triedPeers = new Set<ForwardingPeer>();
     private readonly limited = new Map<GatewayTarget, number>();
     /** Whether it waits for the permit to send to a target with a limit. */
     private isWaitingForPermit = false;
@@ -297,7 +313,10 @@
         const placement = this.choosePlacement();
         switch (placement.type) {
             case "target":
-                if (this.hasConnection(placement.target)) {
+                if (this.isOutOfReach(placement.target)) {
+                    this.giveUp(placement.target, this.lastRefusal);
+                    this.place();
+                } else if (this.hasConnection(placement.target)) {
                     this.sendIfAdmitted(placement.target);
                 } else {
                     this.waitForConnection(placement.target);
@@ -336,8 +355,22 @@
         return first;
     }
 
+    private get isIdempotent(): boolean {
+        return this.route.repeatability === "idempotent";
+    }
+
+    /** The instance through which the request is sent to a target, if the direct path is cut and one is left to be tried. */
+    private peerTo(target: GatewayTarget): ForwardingPeer | undefined {
+        return this.services.peerTo(target, this.triedPeers, this.isIdempotent);
+    }
+
+    /** Whether neither this instance nor one that is left to be tried reaches a target. */
+    private isOutOfReach(target: GatewayTarget): boolean {
+        return target.reach.isCut && this.triedPeers.size > 0 && this.peerTo(target) === undefined;
+    }
+
     private hasConnection(target: GatewayTarget): boolean {
-        return this.reservedAt === target || target.connections.queue.hasFree();
+        return this.reservedAt === target || target.reach.isCut || target.connections.queue.hasFree();
     }
 
     /** Waits for a connection to a target, or refuses the request if none is expected in time. */
@@ -449,10 +482,16 @@
 
     private send(target: GatewayTarget): void {
         const { clock } = this.services;
-        const { call, route } = this;
+        const { call } = this;
         const startedAt = clock.monotonicMs();
         const loadAtStart = target.load();
-        const record: AttemptRecord = { target: target.id, startedMs: startedAt - call.arrivedAt, load: loadAtStart };
+        const peer = this.peerTo(target);
+        const record: AttemptRecord = {
+            target: target.id,
+            startedMs: startedAt - call.arrivedAt,
+            load: loadAtStart,
+            through: peer?.name,
+        };
         this.attempts.push(record);
         const attempt: Attempt = {
             record,
@@ -463,100 +502,116 @@
             loadAtStart,
             wasSent: false,
             hasEnded: false,
+            peer,
+            path: peer === undefined ? target.reach.begin(() => this.pathCut(attempt)) : undefined,
             held: this.services.heldAnswers.create(),
         };
         this.attempt = attempt;
         target.started();
         let head: AnswerHead | undefined;
         let facts: AnswerFacts | undefined;
-        attempt.sent = target.connections.send(
-            {
-                method: call.method,
-                path: call.url,
-                headers: this.services.targetHeaders(call, target.id, this.leftMs()),
-                body: call.body,
+        const request = {
+            method: call.method,
+            path: call.url,
+            headers: this.services.targetHeaders(call, target.id, this.leftMs()),
+            body: call.body,
+        };
+        const answer: TargetAnswer = {
+            sent: () => {
+                attempt.wasSent = true;
+                attempt.sentAt = clock.monotonicMs();
+                attempt.path?.sent();
+                this.sends++;
+                if (this.sends > 1) {
+                    this.services.retried(this.service, this.retryCause);
+                }
+                this.tried.add(target);
             },
-            {
-                sent: () => {
-                    attempt.wasSent = true;
-                    attempt.sentAt = clock.monotonicMs();
-                    this.sends++;
-                    if (this.sends > 1) {
-                        this.services.retried(this.service, this.retryCause);
-                    }
-                    this.tried.add(target);
-                },
-                head: (status, headers) => {
-                    head = { status, headers };
-                    facts = this.services.factsOf(status, headers);
-                    if (facts.requestId !== call.requestId) {
-                        // It may be a repetition of an earlier answer, which says nothing about this request.
-                        attempt.sent?.abort("the answer doesn't carry the identifier of the request");
-                        return;
-                    }
-                    if (facts.load !== undefined) {
-                        target.report(facts.load);
-                    }
-                    this.services.answerStated(target, facts, attempt.sentAt ?? startedAt);
-                },
-                data: chunk => {
-                    if (this.isDone || attempt.hasEnded) {
-                        return;
-                    }
-                    if (this.stream !== undefined) {
-                        if (!this.stream.data(chunk)) {
-                            attempt.sent?.pause();
-                        }
-                        return;
-                    }
-                    attempt.held.add(chunk);
-                    if (attempt.held.isTooLarge()) {
-                        this.forwardOrAbort(attempt, head, facts);
-                    }
-                },
-                end: () => {
-                    const content = attempt.held.take();
-                    if (!this.endAttempt(attempt)) {
-                        return;
-                    }
-                    if (this.stream !== undefined) {
-                        this.recordLatency(attempt);
-                        if (!this.isDone) {
-                            this.stream.end();
-                            this.finish({ type: "answered", status: head?.status ?? 0 });
-                        }
-                        return;
-                    }
-                    this.completed(attempt, head as AnswerHead, facts as AnswerFacts, content);
-                },
-                failed: failure => {
-                    // An attempt that the request has aborted itself has ended before.
-                    if (!this.endAttempt(attempt)) {
-                        return;
-                    }
-                    this.services.attemptFailed(this.service, failure.type, attempt.wasSent);
-                    if (failure.type === "excessive-framing") {
-                        this.services.excessiveAnswer(this, target, "framing", failure.detail);
+            head: (status, headers) => {
+                attempt.path?.heard();
+                head = { status, headers };
+                facts = this.services.factsOf(status, headers);
+                if (facts.requestId !== call.requestId) {
+                    // It may be a repetition of an earlier answer, which says nothing about this request.
+                    attempt.sent?.abort("the answer doesn't carry the identifier of the request");
+                    return;
+                }
+                if (facts.load !== undefined) {
+                    target.report(facts.load);
+                }
+                this.services.answerStated(target, facts, attempt.sentAt ?? startedAt);
+            },
+            data: chunk => {
+                attempt.path?.heard();
+                if (this.isDone || attempt.hasEnded) {
+                    return;
+                }
+                if (this.stream !== undefined) {
+                    if (!this.stream.data(chunk)) {
+                        attempt.sent?.pause();
                     }
-                    if (this.stream !== undefined) {
-                        if (!this.isDone) {
-                            this.finishRefused(refuse("answer-broken", "The target broke a long answer off."));
-                        }
-                        return;
+                    return;
+                }
+                attempt.held.add(chunk);
+                if (attempt.held.isTooLarge()) {
+                    this.forwardOrAbort(attempt, head, facts);
+                }
+            },
+            end: () => {
+                const content = attempt.held.take();
+                if (!this.endAttempt(attempt)) {
+                    return;
+                }
+                if (this.stream !== undefined) {
+                    this.recordLatency(attempt);
+                    if (!this.isDone) {
+                        this.stream.end();
+                        this.finish({ type: "answered", status: head?.status ?? 0 });
                     }
-                    this.attemptFailed(attempt, failure);
-                },
+                    return;
+                }
+                this.completed(attempt, head as AnswerHead, facts as AnswerFacts, content);
             },
-            {
-                fresh: false,
-                maxIdleMs: route.repeatability === "idempotent" ? IDEMPOTENT_MAX_IDLE_MS : NON_IDEMPOTENT_MAX_IDLE_MS,
+            failed: failure => {
+                // An attempt that the request has aborted itself has ended before.
+                if (!this.endAttempt(attempt)) {
+                    return;
+                }
+                this.services.attemptFailed(this.service, failure.type, attempt.wasSent);
+                if (failure.type === "excessive-framing") {
+                    this.services.excessiveAnswer(this, target, "framing", failure.detail);
+                }
+                if (this.stream !== undefined) {
+                    if (!this.isDone) {
+                        this.finishRefused(refuse("answer-broken", "The target broke a long answer off."));
+                    }
+                    return;
+                }
+                this.attemptFailed(attempt, failure);
             },
-        );
-        if (route.repeatability === "idempotent") {
+        };
+        const { isIdempotent } = this;
+        attempt.sent =
+            peer === undefined
+                ? target.connections.send(request, answer, { fresh: false, maxIdleMs: maxIdleMs(isIdempotent) })
+                : peer.send(request, this.forwardFields(target), answer);
+        if (isIdempotent) {
             this.watchSilence(attempt);
         }
     }
 
+    /** What the instance through which the request is sent has to know. */
+    private forwardFields({ listed: { entry }, limit }: GatewayTarget): ForwardFields {
+        return {
+            target: entry.id,
+            startedAtMs: entry.startedAtMs,
+            address: entry.address,
+            ageMs: Math.max(0, this.services.clock.monotonicMs() - this.call.arrivedAt),
+            isIdempotent: this.isIdempotent,
+            isAdmitted: limit !== undefined,
+        };
+    }
+
     /** Forwards an answer that is too large to be held while it arrives, or aborts its attempt. */
     private forwardOrAbort(attempt: Attempt, head: AnswerHead | undefined, facts: AnswerFacts | undefined): void {
         if (!this.canStream(attempt, head, facts)) {
@@ -596,6 +651,10 @@
         if (this.isDone || attempt.hasEnded || !attempt.wasSent || this.stream !== undefined) {
             return;
         }
+        if (attempt.peer?.isSilentSince(attempt.startedAt) === true) {
+            this.leavePeer(attempt, attempt.peer);
+            return;
+        }
         const query = this.query();
         const placement = this.services.canPlaceAgain(query, "silent") ? this.services.place(query) : undefined;
         // A target that might refuse the request isn't used, as its answer may still arrive.
@@ -610,11 +669,33 @@
         }
         attempt.record.next = step;
         attempt.record.end = "no answer in time";
-        attempt.target.unansweredCall(attempt.startedAt);
+        this.unanswered(attempt);
         this.abortAttempt("the target sent no answer");
         this.send(further);
     }
 
+    /** Sends an idempotent request through another instance, because the one that was to forward it is silent. */
+    private leavePeer(attempt: Attempt, peer: ForwardingPeer): void {
+        this.triedPeers.add(peer);
+        this.sendAgain(attempt, "lost", "the other instance is silent");
+    }
+
+    /** Ends an attempt and sends the request again, if another way is left and the retry budget allows it. */
+    private sendAgain(attempt: Attempt, end: AttemptEnd, reason: string): void {
+        if (this.peerTo(attempt.target) === undefined) {
+            return;
+        }
+        const step = this.decide(end, this.services.canPlaceAgain(this.query(), end));
+        if (step !== "send-again") {
+            return;
+        }
+        attempt.record.next = step;
+        attempt.record.end = reason;
+        this.mayHaveRun ||= attempt.wasSent;
+        this.abortAttempt(reason);
+        this.placeAfterInput();
+    }
+
     /** Marks an attempt as ended. Returns `false` if it has already ended. */
     private endAttempt(attempt: Attempt): boolean {
         if (attempt.hasEnded) {
@@ -622,6 +703,7 @@
         }
         attempt.hasEnded = true;
         attempt.held.take();
+        attempt.path?.end();
         if (this.attempt === attempt) {
             this.attempt = undefined;
         }
@@ -631,7 +713,8 @@
     }
 
     private recordLatency(attempt: Attempt): void {
-        attempt.target.answered(this.services.clock.monotonicMs() - attempt.startedAt, attempt.loadAtStart);
+        const { target, startedAt, loadAtStart, peer } = attempt;
+        target.answered(this.services.clock.monotonicMs() - startedAt, loadAtStart, peer !== undefined);
     }
 
     /** Handles a complete answer. */
@@ -711,26 +794,83 @@
     private attemptFailed(attempt: Attempt, failure: TargetFailure): void {
         const { target } = attempt;
         attempt.record.end = `${failure.type}: ${failure.detail}`;
-        if (failure.type !== "connection-limit") {
-            target.unansweredCall(attempt.startedAt);
+        if (attempt.peer !== undefined) {
+            this.forwardingFailed(attempt, attempt.peer, failure);
+            return;
         }
         if (!attempt.wasSent) {
-            if (failure.refused) {
-                this.services.refusedConnection(target);
-            }
-            this.tried.add(target);
-            this.unreached.add(target);
-            const text = `Target ${target.id} can't be reached (${failure.type}).`;
-            this.lastRefusal = refuse("owner-unreachable", text, this.pauseSeconds());
-            this.next(attempt, "not-sent");
+            this.notReached(attempt, failure);
             return;
         }
+        target.unansweredCall(attempt.startedAt);
         if (failure.type === "broken") {
             this.services.brokeWhileRunning(this.call, target);
         }
         this.next(attempt, "lost");
     }
 
+    /** Handles an attempt of which nothing was sent on the direct path. */
+    private notReached(attempt: Attempt, failure: TargetFailure): void {
+        const { target } = attempt;
+        if (failure.type !== "connection-limit") {
+            this.services.connectionFailed(target, failure);
+        }
+        if (this.peerTo(target) === undefined) {
+            if (failure.type !== "connection-limit") {
+                target.unansweredCall(attempt.startedAt);
+            }
+            const text = `Target ${target.id} can't be reached (${failure.type}).`;
+            this.giveUp(target, refuse("owner-unreachable", text, this.pauseSeconds()));
+        }
+        this.next(attempt, "not-sent");
+    }
+
+    /** Handles an attempt through another instance that has got no answer of the target. */
+    private forwardingFailed(attempt: Attempt, peer: ForwardingPeer, failure: TargetFailure): void {
+        const { target } = attempt;
+        this.triedPeers.add(peer);
+        if (attempt.wasSent && failure.type !== "not-forwarded") {
+            if (failure.refusal === undefined) {
+                this.services.forwardingLost(peer);
+            }
+            this.next(attempt, "lost");
+            return;
+        }
+        if (attempt.wasSent) {
+            // The other instance states that it has sent nothing to the target.
+            attempt.wasSent = false;
+            this.sends--;
+            this.tried.delete(target);
+        }
+        const isLast = this.peerTo(target) === undefined;
+        this.services.notForwarded(target, peer, failure, isLast);
+        if (isLast) {
+            const text = `Target ${target.id} can't be reached through other instances (${failure.detail}).`;
+            const delayS = failure.refusal?.retryAfterSeconds ?? this.pauseSeconds();
+            this.giveUp(target, refuse(failure.refusal?.type ?? "owner-unreachable", text, delayS));
+        }
+        this.next(attempt, "not-sent");
+    }
+
+    /** Doesn't try a target again that can't be reached. */
+    private giveUp(target: GatewayTarget, refusal: Refusal): void {
+        this.tried.add(target);
+        this.unreached.add(target);
+        this.lastRefusal = refusal;
+    }
+
+    /**
+     * Sends the request through another instance, because the direct path was found to be cut. One that was sent and can't be
+     * repeated waits for its answer, which may still arrive.
+     */
+    private pathCut(attempt: Attempt): void {
+        const isEnded = this.isDone || attempt.hasEnded || this.stream !== undefined;
+        const mustWait = attempt.wasSent && this.route.repeatability === "nonIdempotent";
+        if (!isEnded && !mustWait) {
+            this.sendAgain(attempt, attempt.wasSent ? "lost" : "not-sent", "the path to the target is cut");
+        }
+    }
+
     private next(attempt: Attempt, end: AttemptEnd, deliver: () => void = () => undefined): void {
         if (end === "lost" || end === "failed") {
             this.mayHaveRun = true;
@@ -791,7 +931,7 @@
         const { attempt } = this;
         if (attempt?.wasSent === true) {
             this.mayHaveRun = true;
-            attempt.target.unansweredCall(attempt.startedAt);
+            this.unanswered(attempt);
         }
         if (this.mayHaveRun) {
             const waitedMs = Math.round(this.services.clock.monotonicMs() - this.call.arrivedAt);
@@ -802,6 +942,13 @@
         this.abortAttempt(isStopped ? "the instance stops" : "its deadline has passed");
     }
 
+    private unanswered({ target, peer, startedAt }: Attempt): void {
+        target.unansweredCall(startedAt);
+        if (peer?.isSilentSince(startedAt) === true) {
+            this.services.forwardingLost(peer);
+        }
+    }
+
     /** Ends the request without a target's answer; the refusal depends on whether it may have run. */
     private finishUnanswered(): void {
         this.finishRefused(
--- a/src/request/refusal.ts
+++ b/src/request/refusal.ts
@@ -1,7 +1,11 @@
+import { z } from "zod";
+import { parseJson } from "../process/runtime/parseJson.js";
 import type { Outcome } from "./outcome.js";
 
 /** Error of a product of floating-point numbers, so that 1.1 isn't rounded up to 1.11. */
 const ROUNDING_ERROR = 1e-6;
+/** Prefix of the type of a refusal in its problem details. */
+const TYPE_PREFIX = "urn:sassafrasloom:";
 
 /** Reasons for refusing a request, with the HTTP status, the outcome and the advice to the caller. */
 const REFUSAL_KINDS = {
@@ -139,7 +143,7 @@
         outcome: kind.outcome,
         retryAfterSeconds: refusal.retryAfterSeconds ?? kind.retryAfterSeconds,
         body: {
-            type: `urn:sassafrasloom:${refusal.type}`,
+            type: `${TYPE_PREFIX}${refusal.type}`,
             title: refusal.type.replaceAll("-", " "),
             status: kind.status,
             outcome: kind.outcome,
@@ -148,6 +152,22 @@
     };
 };
 
+const problemSchema = z.object({ type: z.string().startsWith(TYPE_PREFIX), detail: z.string() });
+
+/**
+ * Reads a refusal of another instance from its problem details; `undefined` if the bytes are none.
+ *
+ * @param retryAfterSeconds delay that the answer states, in seconds
+ *
+ * @example
+ * decodeProblem(body, 0.35); // { type: "owner-unreachable", detail: "...", retryAfterSeconds: 0.35 }
+ */
+export const decodeProblem = (body: Buffer, retryAfterSeconds: number | undefined): Refusal | undefined => {
+    const problem = problemSchema.safeParse(parseJson(body.toString())).data;
+    const type = problem?.type.slice(TYPE_PREFIX.length) ?? "";
+    return problem !== undefined && isRefusalKind(type) ? refuse(type, problem.detail, retryAfterSeconds) : undefined;
+};
+
 /**
  * The delay in seconds after which a caller may return, as the value of a field. It is rounded up, as callers that return too early
  * are refused again.
--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -8,7 +8,7 @@
 import { freePorts } from "./freePorts.js";
 import { OwningTargets, type OwningTarget } from "./owningTargets.js";
 import { TableService } from "./tableService.js";
-import { TargetLinks } from "./targetLinks.js";
+import { TargetLinks, type CutKind } from "./targetLinks.js";
 import { waitFor } from "./waitFor.js";
 
 const PROGRAM = "dist/platform/main.js";
@@ -24,6 +24,8 @@
     "max_attempts",
     "backends",
 ];
+/** Time after which a caller gives up, in milliseconds. */
+const CALLER_TIMEOUT_MS = 3_000;
 /** Longest time of a request, in milliseconds. */
 export const FLEET_TIMEOUT_MS = 1_500;
 const TARGET_LATENCY_MS = 500;
@@ -78,6 +80,8 @@
     domain: string;
     port: number;
     metricsPort: number;
+    /** Port for messages and requests of other instances. */
+    peerPort: number;
     links: TargetLinks;
     lines(): LogLine[];
     signal(name: NodeJS.Signals): void;
@@ -164,7 +168,7 @@
                     headers: {
                         host: "shop.example",
                         "x-request-id": id,
-                        "x-deadline-ms": "3000",
+                        "x-deadline-ms": String(CALLER_TIMEOUT_MS),
                         "x-shard-key": String(key),
                         ...(body === "" ? {} : { "content-length": String(Buffer.byteLength(body)) }),
                         ...headers,
@@ -180,10 +184,26 @@
                 },
             );
             sent.on("error", fail);
+            sent.setTimeout(CALLER_TIMEOUT_MS, () => sent.destroy());
             sent.end(body);
         });
     }
 
+    /** Value of one of a member's metrics, given with its labels. */
+    async metric(member: Pick<FleetMember, "metricsPort">, name: string): Promise<number> {
+        const line = (await this.metrics(member)).split("\n").find(text => text.startsWith(`sassafrasloom_${name} `));
+        return Number(line?.split(" ").at(-1) ?? 0);
+    }
+
+    /** Cuts a member off from all targets and waits until it has noticed. */
+    async cutOff(member: FleetMember, kind: CutKind = "reset"): Promise<void> {
+        await member.links.cut(kind);
+        await waitFor(async () => {
+            await Promise.all(FLEET_KINDS.map(each => this.request(member, each)));
+            return (await this.metric(member, "cut_off")) === 1;
+        });
+    }
+
     /** Text of a member's metrics. */
     async metrics({ metricsPort }: Pick<FleetMember, "metricsPort">): Promise<string> {
         return (await fetch(`http://127.0.0.1:${metricsPort}/metrics`)).text();
@@ -239,7 +259,7 @@
         child.stdout?.on("data", chunk => (output += String(chunk)));
         const lines = () => readLogLines(output);
         const signal = (sent: NodeJS.Signals) => void child.kill(sent);
-        this.members.push({ name, domain, port, metricsPort, links, lines, signal });
+        this.members.push({ name, domain, port, metricsPort, peerPort: peers, links, lines, signal });
         await waitFor(() => lines().some(({ message }) => message.includes("Started.")));
     }
 
