--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -4,7 +4,13 @@
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import { AssignerLease, leaseKey, LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
 
-const createLease = (store: MemoryRowStore, clock: ManualClock, instance: string, incarnation = instance) => {
+const createLease = (
+    store: MemoryRowStore,
+    clock: ManualClock,
+    instance: string,
+    incarnation = instance,
+    isFit: () => boolean = () => true,
+) => {
     const steps: string[] = [];
     store.storeMs = () => clock.monotonicMs() + 5_000_000;
     const lease = new AssignerLease({
@@ -15,6 +21,7 @@
         logger: SILENT_LOGGER,
         gained: isContinuous => steps.push(isContinuous ? "regained" : "gained"),
         lost: () => steps.push("lost"),
+        isFit,
         random: () => 0.5,
     });
     return { lease, steps };
@@ -186,3 +193,88 @@
         expect(other.lease.isHeld()).toBe(true);
     });
 });
+
+describe("An AssignerLease that is passed on", () => {
+    const successor = { instance: "a2", peerAddress: "10.1.0.2:7620" };
+
+    const start = async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const leases = ["a1", "a2", "a3"].map(name => createLease(store, clock, name));
+        leases[0].lease.start();
+        await advanceInSteps(clock, 200);
+        leases.slice(1).forEach(({ lease }) => lease.start());
+        await advanceInSteps(clock, 1_500);
+        const holders = () => leases.map(({ lease }) => lease.isHeld());
+        expect(holders()).toEqual([true, false, false]);
+        return { store, clock, leases, holders };
+    };
+
+    it("isn't held from the call on, and is taken by the successor at once", async () => {
+        const { clock, leases, holders } = await start();
+        let settle = () => undefined as void;
+        const ended = leases[0].lease.passOn(successor, () => new Promise(resolve => (settle = resolve)));
+        expect(holders()).toEqual([false, false, false]);
+        await advanceInSteps(clock, 700);
+        leases[1].lease.wasPassedOn();
+        await advanceInSteps(clock, 100);
+        // Grants of the former holder are still under way.
+        expect(holders()).toEqual([false, false, false]);
+        settle();
+        await advanceInSteps(clock, 50);
+        await ended;
+        leases[1].lease.wasPassedOn();
+        await advanceInSteps(clock, 50);
+        expect(holders()).toEqual([false, true, false]);
+        expect(leases[1].steps).toEqual(["gained"]);
+        await advanceInSteps(clock, 20_000);
+        expect(holders()).toEqual([false, true, false]);
+    });
+
+    it("is taken by another instance once it has expired, if the successor has ended", async () => {
+        const { clock, leases, holders } = await start();
+        leases[1].lease.dispose();
+        await leases[0].lease.passOn(successor, () => Promise.resolve()).catch(() => undefined);
+        await advanceInSteps(clock, LEASE_MS - 200);
+        expect(holders()).toEqual([false, false, false]);
+        await advanceInSteps(clock, 10_000);
+        expect(holders().filter(Boolean)).toHaveLength(1);
+    });
+
+    it.each(["down", "answer-lost"] as const)(
+        "has one holder at most and is held again if the store's answer doesn't come (%s)",
+        async fault => {
+            const { store, clock, leases, holders } = await start();
+            store.fault = fault;
+            void leases[0].lease.passOn(successor, () => Promise.resolve());
+            await advanceInSteps(clock, 100);
+            store.fault = undefined;
+            for (let elapsed = 0; elapsed < 12_000; elapsed += 50) {
+                await advanceInSteps(clock, 50);
+                expect(holders().filter(Boolean).length).toBeLessThanOrEqual(1);
+            }
+            expect(holders().filter(Boolean)).toHaveLength(1);
+        },
+    );
+});
+
+describe("A free AssignerLease", () => {
+    // Guards against an instance that reaches no target and assigns keys although others do.
+    it("is taken by an instance that reaches targets, and by another one only if there is none", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        let isFit = false;
+        const unfit = createLease(store, clock, "a1", "a1", () => isFit);
+        unfit.lease.start();
+        await advanceInSteps(clock, 1_000);
+        expect(unfit.lease.isHeld()).toBe(false);
+        const fit = createLease(store, clock, "a2");
+        fit.lease.start();
+        await advanceInSteps(clock, 20_000);
+        expect([unfit.lease.isHeld(), fit.lease.isHeld()]).toEqual([false, true]);
+        fit.lease.dispose();
+        await advanceInSteps(clock, LEASE_MS + 10_000);
+        expect(unfit.lease.isHeld()).toBe(true);
+        isFit = true;
+    });
+});
--- a/src/process/gateway/__tests__/ownerReplay.test.ts
+++ b/src/process/gateway/__tests__/ownerReplay.test.ts
@@ -83,29 +83,46 @@
  */
 const FIRST = Number(process.env.OWNER_FIRST ?? 1);
 const SEEDS = Array.from({ length: Number(process.env.OWNER_SEEDS ?? 24) }, (_, index) => FIRST + index);
+const HANDOVER_SEEDS = SEEDS.slice(0, Math.ceil(SEEDS.length / 2));
+/** Faults that come beside handovers of the lease. */
+const HANDOVER_KINDS = [
+    ["harmStore", "lateGrants"],
+    ["freezeInstance", "harmedLink"],
+    ["killInstance", "silentTarget", "longWork"],
+    ["cutInstance", "crash", "lateEntries"],
+    ["restore", "cutLink"],
+];
 const ONLY = process.env.OWNER_FAULTS?.split(",").map(Number);
 
+/** Plays the faults of a seed, and fails with the trace if the rule is broken or keys aren't held at the end. */
+const expectKept = async (seed: number, chosen: readonly string[] | undefined): Promise<void> => {
+    const planned = plannedFaults(seed, FAULTS_MS, chosen);
+    let faults: readonly PlannedFault[] =
+        ONLY === undefined ? planned : planned.filter(({ index }) => ONLY.includes(index));
+    let outcome = await replay(seed, faults);
+    if (outcome.violations.length > 0 && process.env.OWNER_MINIMISE !== undefined) {
+        faults = await minimised(seed, faults);
+        outcome = await replay(seed, faults);
+    }
+    const { violations, heldKeys, trace } = outcome;
+    const broken = heldKeys === KEY_COUNT ? violations : [...violations, `${heldKeys} keys are held`];
+    if (broken.length > 0) {
+        const numbers = faults.map(({ index }) => index).join();
+        const lines = trace.slice(-Number(process.env.OWNER_LINES ?? 60));
+        throw new Error([`seed ${seed}: ${broken[0]}`, `OWNER_FAULTS=${numbers}`, ...lines].join("\n"));
+    }
+};
+
 describe("Random replay of targets that work on their keys", () => {
     afterEach(() => jest.restoreAllMocks());
 
     /** Guards against two owners of a key, tokens that don't rise, and keys granted while another target works on them. */
-    it.each(SEEDS)("keeps the rule OWNER (seed %d)", async seed => {
-        const planned = plannedFaults(seed, FAULTS_MS, process.env.OWNER_KINDS?.split(","));
-        let faults: readonly PlannedFault[] =
-            ONLY === undefined ? planned : planned.filter(({ index }) => ONLY.includes(index));
-        let outcome = await replay(seed, faults);
-        if (outcome.violations.length > 0 && process.env.OWNER_MINIMISE !== undefined) {
-            faults = await minimised(seed, faults);
-            outcome = await replay(seed, faults);
-        }
-        const { violations, heldKeys, trace } = outcome;
-        const broken = heldKeys === KEY_COUNT ? violations : [...violations, `${heldKeys} keys are held`];
-        if (broken.length > 0) {
-            const numbers = faults.map(({ index }) => index).join();
-            const lines = trace.slice(-Number(process.env.OWNER_LINES ?? 60));
-            throw new Error([`seed ${seed}: ${broken[0]}`, `OWNER_FAULTS=${numbers}`, ...lines].join("\n"));
-        }
-    });
+    it.each(SEEDS)("keeps the rule OWNER (seed %d)", seed => expectKept(seed, process.env.OWNER_KINDS?.split(",")));
+
+    /** The same while the lease for assigning keys is passed on, by an instance that reaches no targets or some of them. */
+    it.each(HANDOVER_SEEDS)("keeps the rule OWNER over handovers of the lease (seed %d)", seed =>
+        expectKept(seed, ["cutOffInstance", "passOn", ...HANDOVER_KINDS[seed % HANDOVER_KINDS.length]]),
+    );
 });
 
 /** Four targets and an instance that has assigned their keys. */
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -35,6 +35,10 @@
 const MIN_WATCH_MS = 1_000;
 /** Pause after a failed call, in milliseconds. */
 const FAILURE_PAUSE_MS = 250;
+/** Time in milliseconds for which an instance that reaches no target leaves a free lease to others. */
+const UNFIT_WAIT_MS = 3_000;
+/** Pause between two looks at a lease that is left to others, in milliseconds. */
+const UNFIT_PAUSE_MS = 500;
 /** Maximum relative drift of a clock, which may be slow at the holder and fast at an instance that waits for its lease. */
 const CLOCK_DRIFT = 0.02;
 /** Time without a change after which another instance's lease has expired, in milliseconds. */
@@ -58,6 +62,13 @@
     row: RowName & { version: number };
 }
 
+/** The instance to which the lease is passed on. */
+export interface LeaseSuccessor {
+    instance: string;
+    /** Address at which it receives load reports, as `HOST:PORT`. */
+    peerAddress: string;
+}
+
 /** A reading of the store's clock; the store read it at or after the monotonic time `at` of this process. */
 interface StoreTime {
     storeMs: number;
@@ -113,6 +124,10 @@
     private wake: () => void = () => undefined;
     /** Whether the holder's messages have ended, so that its lease may expire. */
     private isHolderSilent = false;
+    /** Monotonic time in milliseconds at which the lease was first found to be free; `undefined` while it isn't. */
+    private freeSince: number | undefined;
+    /** The instance to which the lease is being passed on, and what has to end before. */
+    private handover: { successor: LeaseSuccessor; settled: () => Promise<void>; ended: () => void } | undefined;
 
     constructor(
         private readonly options: {
@@ -135,6 +150,8 @@
             lost?: () => void;
             /** Whether messages of the instance that holds the lease come. */
             isHolderHeard?: () => boolean;
+            /** Whether this instance reaches targets. One that doesn't leaves a free lease to others for a while. */
+            isFit?: () => boolean;
             random?: () => number;
         },
     ) {
@@ -193,6 +210,32 @@
         this.lookAgain();
     }
 
+    /** Reads the lease at once, because it was passed on to this instance. */
+    wasPassedOn(): void {
+        if (!this.isHolder) {
+            this.cancelTimer();
+            this.wake();
+        }
+    }
+
+    /**
+     * Passes the lease on to another instance, which can take it at once; no third one can before it has expired. The lease is no
+     * longer held from this call on; the row is written once `settled` has resolved, when all calls made under the lease have ended.
+     * Resolves when that was tried. If it fails, this instance may take the lease again, as its row still names it.
+     */
+    passOn(successor: LeaseSuccessor, settled: () => Promise<void>): Promise<void> {
+        if (!this.isHolder || !this.isHeld() || this.disposed || this.handover !== undefined) {
+            return Promise.resolve();
+        }
+        this.heldUntil = -Infinity;
+        this.checkLost();
+        return new Promise(ended => {
+            this.handover = { successor, settled, ended };
+            this.cancelTimer();
+            this.wake();
+        });
+    }
+
     /** Takes the next step at once if the store is in a later era than the lease, which each instance has to learn of soon. */
     storeRestored(era: number): void {
         if (era > (this.era ?? era)) {
@@ -237,7 +280,10 @@
 
     private async run(): Promise<void> {
         while (!this.disposed) {
-            const pauseMs = this.isHolder ? await this.write() : await this.watch();
+            const pauseMs = await this.step();
+            if (this.handover !== undefined) {
+                continue;
+            }
             await new Promise<void>(resolve => {
                 this.cancelTimer = this.options.clock.setTimer(pauseMs, resolve);
                 this.wake = resolve;
@@ -245,6 +291,51 @@
         }
     }
 
+    private step(): Promise<number> {
+        if (this.handover !== undefined) {
+            return this.writeSuccessor(this.handover);
+        }
+        return this.isHolder ? this.write() : this.watch();
+    }
+
+    /** Has the lease's row name the successor. Returns the pause until the next step. */
+    private async writeSuccessor({ successor, settled, ended }: NonNullable<typeof this.handover>): Promise<number> {
+        const { store, clock, logger } = this.options;
+        await settled();
+        const { era = 0 } = this;
+        const sentAt = clock.monotonicMs();
+        const writtenMs = this.storeMsAtLatest(sentAt, wallOffsetMs(clock));
+        const lease: Lease = { ...successor, incarnation: "", renewal: ++this.renewal, writtenMs };
+        const name = this.rowName(era);
+        const written = await store.transact({
+            expected: [{ ...name, version: this.rowVersion ?? 0 }],
+            puts: [{ ...name, value: Buffer.from(JSON.stringify(lease)) }],
+        });
+        this.handover = undefined;
+        if (written.isOk() && written.value.era === era && written.value.type === "committed") {
+            this.rowVersion = written.value.version;
+            this.rowSeenAt = clock.monotonicMs();
+            this.holderAddress = successor.peerAddress;
+            logger.info("The lease for assigning keys was passed on.", { successor: successor.instance });
+            ended();
+            return WATCH_MS;
+        }
+        logger.warn("The lease for assigning keys couldn't be passed on.", {
+            successor: successor.instance,
+            cause: written.isErr() ? written.error.type : "the row has changed",
+        });
+        ended();
+        return FAILURE_PAUSE_MS;
+    }
+
+    /** Acquires a lease that is free, unless others that reach targets are to take it first. Returns the pause until the next step. */
+    private acquire(): Promise<number> | number {
+        const now = this.options.clock.monotonicMs();
+        this.freeSince ??= now;
+        const isFit = this.options.isFit?.() !== false;
+        return isFit || now - this.freeSince >= UNFIT_WAIT_MS ? this.write() : UNFIT_PAUSE_MS;
+    }
+
     /** Reads the lease and acquires it if it has expired. Returns the pause until the next step. */
     private async watch(): Promise<number> {
         const { store, clock, instance } = this.options;
@@ -272,16 +363,20 @@
                 return this.earlierErasEndAt - now;
             }
             this.holderAddress = undefined;
-            return this.write();
+            return this.acquire();
         }
         // Only one process at a time runs under an instance's name, so an earlier one with this name has ended.
         const isFree = lease.instance === instance;
         this.holderAddress = isFree ? undefined : lease.peerAddress;
         const seenMs = now - this.rowSeenAt;
         const writtenAgoMs = lease.writtenMs === undefined ? 0 : storeMs - lease.writtenMs;
-        if (isFree || Math.max(seenMs, writtenAgoMs) > EXPIRY_MS) {
+        if (isFree) {
             return this.write();
         }
+        if (Math.max(seenMs, writtenAgoMs) > EXPIRY_MS) {
+            return this.acquire();
+        }
+        this.freeSince = undefined;
         return this.watchPauseMs(EXPIRY_MS - Math.max(seenMs, writtenAgoMs));
     }
 
@@ -446,9 +541,10 @@
         if (Math.abs(wallOffsetMs(this.options.clock) - offsetMs) > SUSPENSION_MS) {
             return;
         }
-        if (this.disposed) {
+        if (this.disposed || this.handover !== undefined) {
             return;
         }
+        this.freeSince = undefined;
         this.wallOffsetMs = offsetMs;
         this.heldUntil = sentAt + LEASE_MS;
         if (!this.isHolder || this.gainedEra !== this.era) {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import { KeyAssigners } from "./keyAssigners.js";
 import { changeBetween, type KeyChange } from "./keyChange.js";
 import { KeyOwners } from "./keyOwners.js";
+import { LeaseHandover } from "./leaseHandover.js";
 import { LeavingExchange } from "./leavingExchange.js";
 import { LimitAdmitter } from "./limitAdmitter.js";
 import { LimitExchange, type Permit } from "./limitExchange.js";
@@ -135,6 +136,7 @@
     private readonly relay: StoreRelay;
     private readonly reach: ReachWatch;
     private readonly forwarding: PeerForwarding;
+    private readonly handover: LeaseHandover;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
@@ -304,11 +306,30 @@
             load: this.load,
             leavingStated: listed => this.leavingStated(listed),
             isSourceHeard: () => this.relay.isHeard,
+            isFit: () => !this.reach.isCutOff,
             admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
             isFirstStart: options.isFirstStart,
             grantEnded: (service, reply) => this.metrics.counter("grants_total", { service, reply }).add(),
         });
+        this.handover = new LeaseHandover({
+            clock,
+            logger: loggers("ownership"),
+            instance,
+            isHeld: () => this.assigners.lease.isHeld(),
+            owners: () => this.owned(),
+            reaches: async ({ id, startedAtMs }) => {
+                const target = this.targets.get(id, startedAtMs);
+                return target !== undefined && this.reach.reaches(target);
+            },
+            peers: () => this.relay.peers().map(({ address }) => address),
+            passOn: successor => this.assigners.passOn(successor),
+            wasPassedOn: () => this.assigners.lease.wasPassedOn(),
+            hasMoved: () => this.assigners.lease.lookAgain(),
+            send: (address, content) => this.peers.send(address, content),
+            random: Math.random,
+        });
+        this.peers.handle(this.handover.receive);
         this.log = new RequestLog({
             clock,
             logger: loggers("callers"),
@@ -428,6 +449,8 @@
         await this.forwarding.start();
         this.disposables.add(this.reach);
         this.reach.start();
+        this.disposables.add(this.handover);
+        this.handover.start();
         this.disposables.add(this.load);
         this.disposables.add(this.leaving);
         this.disposables.add(this.relay);
@@ -610,6 +633,17 @@
         this.limits.learned({ id, startedAtMs, perSecond: target.limit?.perSecond, ageMs });
     }
 
+    /** The owners of keys that this instance assigns, and whether it reaches them. */
+    private owned(): { id: string; startedAtMs: number; isReached: boolean }[] {
+        return [...this.assigners.ownerGrants().values()].flatMap(({ owners, failing }) =>
+            owners.map(owner => {
+                const { id, startedAtMs } = owner.entry;
+                const isCut = this.targets.get(id, startedAtMs)?.reach.isCut === true;
+                return { id, startedAtMs, isReached: !isCut && !failing.includes(owner) };
+            }),
+        );
+    }
+
     private connectionFailed(target: GatewayTarget, { refused }: TargetFailure): void {
         this.reach.connectionFailed(target);
         if (refused) {
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -2,7 +2,7 @@
 import type { RouteConfig } from "../../version/routeConfig.js";
 import type { Logger } from "../observability/logger.js";
 import type { Clock } from "../runtime/clock.js";
-import { AssignerLease } from "./assignerLease.js";
+import { AssignerLease, type LeaseSuccessor } from "./assignerLease.js";
 import type { GatewayTargets } from "./gatewayTargets.js";
 import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { KeyAssigner, type OwnerGrants } from "./keyAssigner.js";
@@ -39,6 +39,8 @@
             leavingStated: (target: DirectoryTarget) => void;
             /** Whether messages of the instance that assigns keys come. */
             isSourceHeard?: () => boolean;
+            /** Whether this instance reaches targets. */
+            isFit?: () => boolean;
             /** Whether the whole system starts for the first time. */
             isFirstStart?: boolean;
             /** Admits requests to targets with limits while this instance holds the lease. */
@@ -59,6 +61,7 @@
             logger,
             isFirstStart,
             isHolderHeard: options.isSourceHeard,
+            isFit: options.isFit,
             gained: isContinuous => {
                 if (isContinuous) {
                     this.assigners.forEach(assigner => void assigner.resume());
@@ -103,9 +106,12 @@
 
     /** Releases the lease once all calls made under it have ended. */
     async release(): Promise<void> {
-        await this.lease.release(async () => {
-            await Promise.all([...this.assigners.values()].map(assigner => assigner.settled()));
-        });
+        await this.lease.release(() => this.settled());
+    }
+
+    /** Passes the lease on once all calls made under it have ended. Resolves when that was tried. */
+    async passOn(successor: LeaseSuccessor): Promise<void> {
+        await this.lease.passOn(successor, () => this.settled());
     }
 
     dispose(): void {
@@ -113,6 +119,10 @@
         this.lease.dispose();
     }
 
+    private async settled(): Promise<void> {
+        await Promise.all([...this.assigners.values()].map(assigner => assigner.settled()));
+    }
+
     private createAssigner(service: string): KeyAssigner {
         const { store, calls, clock, logger, targets, load, admitter, leavingStated, maxHoldMs } = this.options;
         return new KeyAssigner({
--- a/src/process/gateway/leavingExchange.ts
+++ b/src/process/gateway/leavingExchange.ts
@@ -1,5 +1,6 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
-import { decodeLeavingMessage, encodeLeavingMessage, type LeavingTarget } from "./leavingMessage.js";
+import { decodeLeavingMessage, encodeLeavingMessage } from "./leavingMessage.js";
+import type { NamedProcess } from "./namedProcess.js";
 import type { DatagramHandler, PeerAddress } from "./peerPort.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 
@@ -17,7 +18,7 @@
 
 /** A statement that the assigner has to know. Times are monotonic, in milliseconds. */
 interface PendingStatement {
-    target: LeavingTarget;
+    target: NamedProcess;
     endsAt: number;
     /** Address of the last report as `HOST:PORT`; `undefined` if there was none. */
     reportedTo: string | undefined;
@@ -56,7 +57,7 @@
     ) {}
 
     /** Reports a target that has stated that it leaves. */
-    stated({ id, startedAtMs }: LeavingTarget): void {
+    stated({ id, startedAtMs }: NamedProcess): void {
         this.pending.set(id, {
             target: { id, startedAtMs },
             endsAt: this.options.clock.monotonicMs() + STATEMENT_LIFETIME_MS,
@@ -95,7 +96,7 @@
     }
 
     /** Applies a report; `false` if the target's entry hasn't been read yet, so that the report is repeated. */
-    private hear({ id, startedAtMs }: LeavingTarget): boolean {
+    private hear({ id, startedAtMs }: NamedProcess): boolean {
         const listed = this.options.registered(id);
         if (listed === undefined || listed.entry.startedAtMs < startedAtMs) {
             return false;
@@ -106,7 +107,7 @@
         return true;
     }
 
-    private acknowledged({ id, startedAtMs }: LeavingTarget, assigner: string): void {
+    private acknowledged({ id, startedAtMs }: NamedProcess, assigner: string): void {
         const statement = this.pending.get(id);
         if (statement?.target.startedAtMs === startedAtMs && statement.reportedTo === assigner) {
             statement.isAcknowledged = true;
@@ -132,7 +133,7 @@
     }
 
     /** Whether the assigner can't know yet from the target's entry that the target doesn't get keys. */
-    private matters({ id, startedAtMs }: LeavingTarget): boolean {
+    private matters({ id, startedAtMs }: NamedProcess): boolean {
         const entry = this.options.registered(id)?.entry;
         return entry?.startedAtMs === startedAtMs && !entry.draining;
     }
--- a/src/process/gateway/leavingMessage.ts
+++ b/src/process/gateway/leavingMessage.ts
@@ -1,23 +1,16 @@
 import { z } from "zod";
 import { parseJson } from "../runtime/parseJson.js";
+import { namedProcessSchema } from "./namedProcess.js";
 
 /** Maximum number of targets in one datagram, so that it isn't fragmented. */
 const MAX_TARGETS = 20;
 
-const leavingTargetSchema = z.object({
-    /** Identifier and start time of the target's process in Unix milliseconds. */
-    id: z.string(),
-    startedAtMs: z.number(),
-});
-/** The process of a target that has stated that it leaves. */
-export type LeavingTarget = z.infer<typeof leavingTargetSchema>;
-
 const leavingMessageSchema = z.object({
     /** `leaving-stated` reports targets to the assigner, `leaving-heard` acknowledges a report. */
     type: z.enum(["leaving-stated", "leaving-heard"]),
     /** Address at which the assigner gets the report, as `HOST:PORT`. */
     assigner: z.string(),
-    targets: z.array(leavingTargetSchema).min(1).max(MAX_TARGETS),
+    targets: z.array(namedProcessSchema).min(1).max(MAX_TARGETS),
 });
 /** A message about targets that have stated that they leave. */
 export type LeavingMessage = z.infer<typeof leavingMessageSchema>;
--- a/src/process/gateway/reachWatch.ts
+++ b/src/process/gateway/reachWatch.ts
@@ -19,6 +19,8 @@
 const CHECKS_WHILE_CUT_OFF = 2;
 /** Number of further paths that are checked when one is found to be cut. */
 const CONFIRMING_CHECKS = 2;
+/** Time after bytes of a target for which it counts as reached without a check, in milliseconds. */
+const HEARD_MS = 600;
 /** Time in milliseconds for which bytes of any target show that the instance isn't cut off. */
 const RECENTLY_MS = 150;
 
@@ -71,12 +73,10 @@
     }
 
     /** Whether the target is reached: it was heard from on the direct path lately, or a check succeeds. */
-    async reaches(target: GatewayTarget, heardWithinMs: number): Promise<boolean> {
+    async reaches(target: GatewayTarget): Promise<boolean> {
         const { reach } = target;
-        if (!reach.isCut && this.options.clock.monotonicMs() - reach.heardAt < heardWithinMs) {
-            return true;
-        }
-        return this.check(target);
+        const heardMs = this.options.clock.monotonicMs() - reach.heardAt;
+        return (!reach.isCut && heardMs < HEARD_MS) || this.check(target);
     }
 
     private look(): void {
--- a/src/process/gateway/selectPeers.ts
+++ b/src/process/gateway/selectPeers.ts
@@ -5,7 +5,8 @@
 /** Number of these that are left for instances of other failure domains. */
 const OTHER_DOMAINS = 5;
 
-const shuffled = <Item>(items: readonly Item[], random: () => number): Item[] =>
+/** A copy in random order. */
+export const shuffled = <Item>(items: readonly Item[], random: () => number): Item[] =>
     items
         .map(item => ({ item, rank: random() }))
         .sort((a, b) => a.rank - b.rank)
--- a/test/support/ownedService.ts
+++ b/test/support/ownedService.ts
@@ -241,6 +241,19 @@
         });
     }
 
+    /** Has an instance pass the lease on to another one, which learns of it at once or by its own reading. */
+    passLeaseOn(holder: OwnedInstance, successor: OwnedInstance, isTold: boolean): void {
+        this.note(`${holder.name} passes the lease on to ${successor.name}`);
+        const { name } = successor;
+        void holder.assigners.passOn({ instance: name, peerAddress: `${name}:1` }).then(() => {
+            if (isTold) {
+                this.clock.setTimer(this.random() * 50, () =>
+                    successor.clock.deliver(() => successor.assigners.lease.wasPassedOn()),
+                );
+            }
+        });
+    }
+
     /** Sets whether an instance reaches the store. */
     cutFromStore(instance: OwnedInstance, isCut: boolean): void {
         this.note(`${instance.name} ${isCut ? "is cut from" : "reaches"} the store`);
--- a/test/support/ownerFaults.ts
+++ b/test/support/ownerFaults.ts
@@ -354,6 +354,38 @@
     longWork,
 };
 /** Planned work, which moves keys, and requests. */
+/** Cuts the instance that assigns keys, or another one, off from all targets. Its lease may be passed on meanwhile. */
+const cutOffInstance: Effect = (service, random) => {
+    const instance = instanceOf(service, random);
+    if (instance === undefined) {
+        return;
+    }
+    const cut = pick<Cut>(["both", "calls", "answers"], random);
+    const addresses = targetsOf(service).map(({ address }) => address);
+    service.note(`${instance.name} is cut off (${cut}) from ${addresses.join(" ")}`);
+    addresses.forEach(address => instance.link.cut(address, cut));
+    service.clock.setTimer(between(1_000, 14_000, random), () => {
+        service.note(`${instance.name} reaches targets again`);
+        addresses.forEach(address => instance.link.cut(address, undefined));
+    });
+    if (random() < 0.8) {
+        service.clock.setTimer(between(300, 3_000, random), () => passOn(service, random));
+    }
+};
+
+const passOn: Effect = (service, random) => {
+    const holder = service.instances.find(({ assigners }) => assigners.lease.isHeld());
+    const successor = pick(
+        service.instances.filter(instance => instance !== holder),
+        random,
+    );
+    if (holder !== undefined && successor !== undefined) {
+        service.passLeaseOn(holder, successor, random() < 0.7);
+    }
+};
+
+/** Faults that only replays that choose them have, so that the draws of the others stay the same. */
+const CHOSEN_FAULTS: Record<string, Effect> = { cutOffInstance, passOn };
 const WORK: Record<string, Effect> = { scaleIn, scaleOut, hotKeys, request };
 
 /** Time in milliseconds at which the faults begin; keys are assigned by then. */
@@ -385,6 +417,6 @@
 /** Begins a planned fault. */
 export const applyFault = ({ index, kind, seed }: PlannedFault, service: OwnedService): void => {
     service.note(`fault ${index} ${kind}`);
-    const effect = FAULTS[kind] ?? WORK[kind];
+    const effect = FAULTS[kind] ?? WORK[kind] ?? CHOSEN_FAULTS[kind];
     effect(service, seededRandom(seed));
 };
