Gain the lease for assigning keys only while it is held

The answer came after the lease had ended, yet the lease counted as gained; no key assigner was created, as it wasn't held, and later writes renewed a lease that counted as gained already. Other instances saw it renewed and left it. Class: an effect is announced without a check that its premise still holds.

A lease whose answer comes late now isn't gained; its row names this instance, which therefore writes it again at once and gains it then.

--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -258,6 +258,34 @@
     );
 });
 
+describe("An AssignerLease whose acquisition is answered after its end", () => {
+    // Guards against an instance that freezes while it acquires the lease, and then keeps it without assigning keys.
+    it("is gained by the next write, when it is held", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const heldWhenGained: boolean[] = [];
+        const lease: AssignerLease = new AssignerLease({
+            store,
+            instance: "a1",
+            incarnation: "a1",
+            clock,
+            logger: SILENT_LOGGER,
+            gained: () => heldWhenGained.push(lease.isHeld()),
+        });
+        const transact = store.transact.bind(store);
+        store.transact = async transaction => {
+            const outcome = await transact(transaction);
+            store.transact = transact;
+            await new Promise<void>(resolve => clock.setTimer(LEASE_MS + 100, resolve));
+            return outcome;
+        };
+        lease.start();
+        await advanceInSteps(clock, LEASE_MS + 3_000);
+        expect(lease.isHeld()).toBe(true);
+        expect(heldWhenGained).toEqual([true]);
+    });
+});
+
 describe("A free AssignerLease", () => {
     // Guards against an instance that reaches no target and assigns keys although others do.
     it("is taken by an instance that reaches targets, and by another one only if there is none", async () => {
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -547,6 +547,10 @@
         this.freeSince = undefined;
         this.wallOffsetMs = offsetMs;
         this.heldUntil = sentAt + LEASE_MS;
+        if (!this.isHeld()) {
+            // The answer came after the end of the lease, as after a freeze. The next write holds it.
+            return;
+        }
         if (!this.isHolder || this.gainedEra !== this.era) {
             const isContinuous = !this.isInterrupted;
             this.isHolder = true;
