Take a refused connection for the end of a target only while others are reached

A cut that resets connections made sound requests refused as "quarantined" at all instances, for 10 minutes: their connections to several targets broke, further connections to these were refused, and that was taken for crashes.

Before an instance counts a refused connection as the end of a target whose connection broke under a request, it now checks other targets; behind a cut these don't answer either. Without any other target nothing can be compared, and it counts.

A reset of the paths to some targets only still looks like their end; that is open.

--- a/src/process/gateway/crashSuspects.ts
+++ b/src/process/gateway/crashSuspects.ts
@@ -100,6 +100,12 @@
         this.broken.set(target, [...recent, { fingerprint: this.fingerprint(call), brokeAt: now }]);
     }
 
+    /** Whether the end of a target's process would make requests suspect. */
+    isConcerned(target: string): boolean {
+        const now = this.options.clock.monotonicMs();
+        return (this.broken.get(target) ?? []).some(({ brokeAt }) => now - brokeAt < EVIDENCE_MS);
+    }
+
     /** Records that a target's process has ended: nothing listens at its address, or it has restarted. */
     targetEnded(target: string): void {
         const now = this.options.clock.monotonicMs();
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -646,8 +646,13 @@
 
     private connectionFailed(target: GatewayTarget, { refused }: TargetFailure): void {
         this.reach.connectionFailed(target);
-        if (refused) {
-            this.suspects.targetEnded(target.id);
+        if (refused && this.suspects.isConcerned(target.id)) {
+            // Behind a cut, all connections may be refused.
+            void this.reach.reachesOthers(target).then(reachesOthers => {
+                if (reachesOthers) {
+                    this.suspects.targetEnded(target.id);
+                }
+            });
         }
     }
 
--- a/src/process/gateway/reachWatch.ts
+++ b/src/process/gateway/reachWatch.ts
@@ -79,6 +79,16 @@
         return (!reach.isCut && heardMs < HEARD_MS) || this.check(target);
     }
 
+    /**
+     * Whether this instance reaches other targets at present, so that a refused connection is the target's own doing. Without other
+     * targets nothing speaks against that.
+     */
+    async reachesOthers(target: GatewayTarget): Promise<boolean> {
+        const others = [...this.options.targets()].filter(other => other !== target);
+        const checked = await Promise.all(this.mostRecent(others).map(other => this.check(other)));
+        return others.length === 0 || checked.includes(true);
+    }
+
     private look(): void {
         const now = this.options.clock.monotonicMs();
         const hasStalled = now - this.lookedAt > STALL_MS;
@@ -172,20 +182,23 @@
             return;
         }
         this.isConfirming = true;
-        // Those heard from last are the least likely to have ended.
-        const others = [...this.options.targets()]
-            .filter(target => !target.reach.isCut && !this.checking.has(target))
-            .sort((a, b) => b.reach.heardAt - a.reach.heardAt)
-            .slice(0, CONFIRMING_CHECKS);
-        await Promise.all(others.map(target => this.check(target)));
-        this.isConfirming = false;
         const targets = [...this.options.targets()];
+        await Promise.all(this.mostRecent(targets).map(target => this.check(target)));
+        this.isConfirming = false;
         const cutAt = targets.map(({ reach }) => reach.cutAt).filter(time => time !== undefined);
         if (!this.isCutOff && isCutOff({ heardAt: this.lastHeardAt(), cutAt, known: targets.length })) {
             this.beginCutOff(targets);
         }
     }
 
+    /** Some targets that were heard from last, as they are the least likely to have ended. */
+    private mostRecent(targets: readonly GatewayTarget[]): GatewayTarget[] {
+        return targets
+            .filter(({ reach }) => !reach.isCut)
+            .sort((a, b) => b.reach.heardAt - a.reach.heardAt)
+            .slice(0, CONFIRMING_CHECKS);
+    }
+
     private beginCutOff(targets: readonly GatewayTarget[]): void {
         const now = this.options.clock.monotonicMs();
         this.cutOffAt = now;
--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -151,10 +151,17 @@
     request(
         { port }: Pick<FleetMember, "port">,
         kind: FleetKind,
-        options: { key?: number; body?: string; headers?: Record<string, string>; signal?: AbortSignal } = {},
+        options: {
+            key?: number;
+            body?: string;
+            headers?: Record<string, string>;
+            signal?: AbortSignal;
+            /** Last part of the path, which names the request for its target; unique by default. */
+            name?: string;
+        } = {},
     ): Promise<FleetAnswer> {
         const id = `r${this.nextRequest++}`;
-        const { key = Math.floor(Math.random() * 65_536), body = "", headers = {}, signal } = options;
+        const { key = Math.floor(Math.random() * 65_536), body = "", headers = {}, signal, name = id } = options;
         return new Promise(resolve => {
             const fail = () => resolve({ id, status: 0, headers: {}, body: "" });
             const sent = send(
@@ -164,7 +171,7 @@
                     agent: this.agent,
                     signal,
                     method: isRepeatable(kind) ? "GET" : "POST",
-                    path: `/${kind}/${id}`,
+                    path: `/${kind}/${name}`,
                     headers: {
                         host: "shop.example",
                         "x-request-id": id,
