Count the timeout of a connection in milliseconds, not in steps of half a second

Cause: the HTTP client's connector counts connect timeouts with a timer of half-second steps.

The connector now opens the socket itself and has a timer of its own, on the clock of its user.

Before: targetConnections.test.ts, "established after the time for it", failed on (no failure by 550 ms of a manual clock).

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -1,3 +1,7 @@
+import { Socket } from "node:net";
+import { jest } from "@jest/globals";
+import { advanceInSteps } from "../../../test/support/advanceInSteps.js";
+import { ManualClock } from "../../../test/support/manualClock.js";
 import { startScriptedTarget } from "../../../test/support/scriptedTarget.js";
 import { systemClock } from "../../process/runtime/clock.js";
 import type { Header } from "../peerProtocol.js";
@@ -20,6 +24,24 @@
     },
 );
 
+// Permits of stated limits and rests of targets rely on this bound; the HTTP client's own timer took up to twice as long.
+test("guards against connections that are established after the time for it", async () => {
+    const hang = jest.spyOn(Socket.prototype, "connect").mockImplementation(function (this: Socket) {
+        return this;
+    });
+    const clock = new ManualClock();
+    const connections = new TargetConnections("127.0.0.1:9", clock, { connectTimeoutMs: 500 });
+    const failures: TargetFailure[] = [];
+    const answer = { sent: () => undefined, head: () => undefined, data: () => undefined, end: () => undefined };
+    connections.send(REQUEST, { ...answer, failed: failure => failures.push(failure) }, { fresh: false });
+    await advanceInSteps(clock, 450);
+    expect(failures).toEqual([]);
+    await advanceInSteps(clock, 100);
+    expect(failures).toMatchObject([{ type: "connect-timeout", refused: false }]);
+    hang.mockRestore();
+    connections.dispose();
+});
+
 test("guards against statements of targets that are missed because of blanks after their values", async () => {
     const target = await startScriptedTarget(({ answer }) => answer({ headers: ["Stated: 1 ", "Other: a b\t "] }));
     const connections = new TargetConnections(target.address, systemClock);
--- a/src/connection/resettingConnector.ts
+++ b/src/connection/resettingConnector.ts
@@ -1,6 +1,7 @@
-import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import { connect as connectSocket, type Socket } from "node:net";
+import { errors, type buildConnector } from "undici";
 import { afterInput } from "../process/runtime/afterInput.js";
+import { systemClock, type Clock } from "../process/runtime/clock.js";
 import { limitReads, type ReadLimit } from "./limitReads.js";
 
 /**
@@ -24,6 +25,43 @@
     };
 };
 
+/** Port of HTTP addresses that name none. */
+const DEFAULT_PORT = 80;
+/** Size of the pieces in which a connection is read, in bytes. */
+const READ_BYTES = 65_536;
+/** Idle time after which the operating system probes a connection, in milliseconds. */
+const KEEP_ALIVE_MS = 60_000;
+
+/**
+ * Opens a connection, or calls back with an error when the timeout has passed. The connector of the HTTP client counts its timeout
+ * in steps of half a second, so that connections could be established a whole second after they were asked for.
+ */
+const openWithin = (
+    { host, port, timeoutMs, clock }: { host: string; port: number; timeoutMs: number; clock: Clock },
+    callback: (error: Error | undefined, socket: Socket) => void,
+): void => {
+    // The types don't know that the options of a stream may be given, too.
+    const options = { host, port, highWaterMark: READ_BYTES };
+    const socket = connectSocket(options);
+    socket.setKeepAlive(true, KEEP_ALIVE_MS).setNoDelay(true);
+    let hasEnded = false;
+    const end = (error: Error | undefined) => {
+        if (!hasEnded) {
+            hasEnded = true;
+            cancelTimer();
+            callback(error, socket);
+        }
+    };
+    const giveUp = () => {
+        const text = `No connection to ${host}:${port} was established within ${timeoutMs} ms.`;
+        socket.destroy(new errors.ConnectTimeoutError(text));
+    };
+    // A connection that was established during a stall isn't late.
+    const cancelTimer = clock.setTimer(timeoutMs, () => afterInput(() => (hasEnded ? undefined : giveUp())));
+    socket.once("connect", () => end(undefined));
+    socket.on("error", end);
+};
+
 /** Error of a connection that was closed before it was used. */
 export class ClosedConnectionError extends Error {
     readonly code = "ECONNRESET";
@@ -47,12 +85,18 @@
     onConnect?: (socket: Socket) => void;
     /** Called when a connection fails, before the HTTP client handles the failure. */
     onReset?: () => void;
+    clock?: Clock;
 }): buildConnector.connector => {
-    const { timeoutMs, readLimit, onConnect = () => undefined, onReset = () => undefined } = options;
-    const connect = buildConnector({ timeout: timeoutMs });
-    return (options, callback) =>
-        connect(options, (...[error, socket]) => {
-            if (error !== null) {
+    const {
+        timeoutMs,
+        readLimit,
+        onConnect = () => undefined,
+        onReset = () => undefined,
+        clock = systemClock,
+    } = options;
+    return ({ hostname, port }, callback) =>
+        openWithin({ host: hostname, port: Number(port || DEFAULT_PORT), timeoutMs, clock }, (error, socket) => {
+            if (error !== undefined) {
                 callback(error, null);
                 return;
             }
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -307,6 +307,7 @@
             pipelining: 1,
             connect: resettingConnector({
                 timeoutMs: this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+                clock: this.clock,
                 readLimit: {
                     isExcessive: bytes => bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * connection.contentBytes,
                     lines: {
