Don't count a recorded token as seen by the owner (OWNER)

Before a release, a grant without an answer has to be made harmless by an answered one with a higher token. Once the lease was held again, the next release started from the recorded token and took the earlier grant for harmless. Class: what is recorded counts as what the other side has seen.

The tokens that an owner has answered are kept by keys now, and only these make earlier grants harmless.

--- a/src/process/gateway/__tests__/ownerReplay.test.ts
+++ b/src/process/gateway/__tests__/ownerReplay.test.ts
@@ -83,8 +83,11 @@
  */
 const FIRST = Number(process.env.OWNER_FIRST ?? 1);
 const SEEDS = Array.from({ length: Number(process.env.OWNER_SEEDS ?? 24) }, (_, index) => FIRST + index);
-/** Seed 1213: an instance froze while it acquired the lease, and then kept it without assigning keys. */
-const HANDOVER_SEEDS = [...SEEDS.slice(0, Math.ceil(SEEDS.length / 2)), 1213];
+/**
+ * Seed 1213: an instance froze while it acquired the lease, and then kept it without assigning keys. Seed 3765: a token that was
+ * recorded and not sent counted as seen by the owner, which took an earlier grant after its release.
+ */
+const HANDOVER_SEEDS = [...SEEDS.slice(0, Math.ceil(SEEDS.length / 2)), 1213, 3765];
 /** Faults that come beside handovers of the lease. */
 const HANDOVER_KINDS = [
     ["harmStore", "lateGrants"],
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -22,6 +22,7 @@
 import { KeyLoads, planMoves, type KeyMove, type PlannedTarget } from "./planMoves.js";
 import { ownerName, processName } from "./processName.js";
 import type { RowStore } from "./rowStore.js";
+import { SeenTokens } from "./seenTokens.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 import { unlistedOwner } from "./unlistedOwner.js";
 
@@ -51,6 +52,7 @@
     listed: DirectoryTarget;
     grants: GrantRecord;
     late: LateGrants;
+    seen: SeenTokens;
     /** Monotonic time in milliseconds at which its entry was found missing. */
     goneAt: number | undefined;
     /** Whether its process is known for certain to have ended. */
@@ -455,6 +457,7 @@
             listed,
             grants,
             late,
+            seen: new SeenTokens(),
             goneAt: undefined,
             ended: false,
             renewing: Promise.resolve(),
@@ -658,17 +661,10 @@
         to: number,
     ): Promise<{ handover: string | undefined; proof: EndOfHold } | undefined> {
         const { calls, clock, lease } = this.options;
-        let owner = this.holderOf(range);
         let { fence } = range;
-        // The highest token that the owner is known to have seen for these keys.
-        let seenFence = fence;
         await this.ownerOf(range)?.renewing;
         for (;;) {
-            const holder = this.holderOf(range);
-            if (holder !== owner) {
-                owner = holder;
-                seenFence = range.fence;
-            }
+            const owner = this.holderOf(range);
             if (this.disposed || this.isUncertain || !lease.isHeld()) {
                 return undefined;
             }
@@ -679,6 +675,8 @@
             if (owner === undefined) {
                 return undefined;
             }
+            // The token of the range may be one that was recorded and never sent.
+            const seenFence = owner.seen.lowest({ from, to });
             if (owner.late.mayTakeEffect({ from, to, fence: seenFence }, clock.monotonicMs())) {
                 if (!owner.grants.isRenewable(clock.monotonicMs(), false)) {
                     // Each unanswered call would put off the end of the grants.
@@ -690,9 +688,7 @@
                     return undefined;
                 }
                 fence = raised.fence;
-                if (raised.isAnswered) {
-                    seenFence = fence;
-                } else {
+                if (!raised.isAnswered) {
                     await this.pause(REPEAT_PAUSE_MS);
                 }
                 continue;
@@ -920,6 +916,7 @@
         switch (reply.type) {
             case "granted":
                 target.grants.answered(now);
+                target.seen.answered(range);
                 this.applyStatement(target, reply);
                 return true;
             case "unanswered":
