--- a/test/failure/cutOffInstances.test.ts
+++ b/test/failure/cutOffInstances.test.ts
@@ -1,5 +1,5 @@
 import { GatewayFleet } from "../support/gatewayFleet.js";
-import { recoveryOf, sendFirstTries } from "../support/firstTries.js";
+import { recoveryOf, sendFirstTries, type FirstTry } from "../support/firstTries.js";
 import { CUT_KINDS } from "../support/targetLinks.js";
 import { pause } from "../support/waitFor.js";
 
@@ -28,14 +28,14 @@
 
     /** Identifiers of requests that may run more than once. */
     let isRepeatable: Set<string>;
+    const repeatableAmong = (tries: readonly FirstTry[]): Set<string> =>
+        new Set(tries.filter(({ kind }) => kind === "lookup" || kind === "drawing").map(({ id }) => id));
 
     /** Cuts some instances off and holds the first tries of callers against the rule. */
     const expectServed = async (names: readonly string[], kind: (typeof CUT_KINDS)[number], forMs = 7_000) => {
         await Promise.all(names.map(name => fleet.member(name).links.cut(kind)));
         const tries = await sendFirstTries(fleet, { forMs, perSecond: PER_SECOND });
-        isRepeatable = new Set(
-            tries.filter(each => each.kind === "lookup" || each.kind === "drawing").map(each => each.id),
-        );
+        isRepeatable = repeatableAmong(tries);
         const figures = recoveryOf(tries, names, STABLE_MS);
         expect({ ...figures, isBroken: false }).toEqual(figures);
         expectNothingBroken();
@@ -64,4 +64,44 @@
             "reset",
         );
     });
+
+    it("serve their callers twice in a row, while a target is added, keys move and a config changes", async () => {
+        await startFleet(["linz", "linz", "wels"]);
+        const [name] = namesOf(other => other !== fleet.holder());
+        const { links } = fleet.member(name);
+        const changes = (async () => {
+            for (const [index, kind] of (["hang", "reset"] as const).entries()) {
+                await links.cut(kind);
+                fleet.configure(2 + index);
+                const added = await fleet.addTarget(`added-${index}`, "stock", "linz");
+                await links.cut(kind, [added.address]);
+                await pause(5_000);
+                await links.heal();
+                await pause(1_000);
+            }
+        })();
+        const tries = await sendFirstTries(fleet, { forMs: 12_000, perSecond: PER_SECOND });
+        await changes;
+        const atCutOff = tries.filter(({ member }) => member === name);
+        const failed = atCutOff.filter(({ status }) => status !== 200);
+        // Those that can't be repeated are lost if they were sent on a kept connection before the cut was noticed.
+        expect(failed.filter(({ sentAt }) => sentAt % 6_000 > STABLE_MS / 2)).toEqual([]);
+        expect(failed.length).toBeLessThanOrEqual(10 + tries.length / 50);
+        expect(fleet.targets.grants.violations).toEqual([]);
+        isRepeatable = repeatableAmong(tries);
+        expectNothingBroken();
+    });
+
+    it("reach some targets directly and the others through another instance when only some paths are cut", async () => {
+        await startFleet(["linz", "linz", "wels"]);
+        const [name] = namesOf(other => other !== fleet.holder());
+        const some = fleet.targets.targets.filter((_, index) => index % 2 === 0).map(({ address }) => address);
+        await fleet.member(name).links.cut("hang", some);
+        const tries = await sendFirstTries(fleet, { forMs: 7_000, perSecond: PER_SECOND });
+        isRepeatable = repeatableAmong(tries);
+        const figures = recoveryOf(tries, [name], STABLE_MS);
+        expect(figures.cutOff.served).toBe(figures.cutOff.tries);
+        expect(await fleet.metric(fleet.member(name), "cut_off")).toBe(0);
+        expectNothingBroken();
+    });
 });
