Bound the checks of cut paths, and prefer near instances for forwarding

An instance in a failure domain that is cut off from the others has many cut paths; it checked up to eighty a second of them again. Now twenty a second are, and eighty after one was found to be open, as paths are mostly opened together. Instances in the own domain go before others at the same number of crossings, and a connection to an instance has 250 ms.

--- a/src/process/gateway/__tests__/choosePeer.test.ts
+++ b/src/process/gateway/__tests__/choosePeer.test.ts
@@ -5,6 +5,7 @@
 const candidate = (change: Partial<PeerCandidate> = {}): PeerCandidate => ({
     inFlight: 0,
     crossings: 0,
+    isNear: true,
     isSuspect: false,
     ...change,
 });
@@ -13,7 +14,8 @@
 describe("choosePeer", () => {
     it("keeps requests in the failure domain until its instances are much busier than others", () => {
         const own = candidate({ inFlight: 20 });
-        const other = candidate({ crossings: 1 });
+        const other = candidate({ crossings: 1, isNear: false });
+        expect(choosePeer([candidate({ isNear: false }), candidate({ inFlight: 1 })], noJitter)?.isNear).toBe(true);
         expect(choosePeer([other, own], noJitter)).toBe(own);
         expect(choosePeer([other, candidate({ inFlight: 30 })], noJitter)).toBe(other);
     });
--- a/src/process/gateway/choosePeer.ts
+++ b/src/process/gateway/choosePeer.ts
@@ -4,12 +4,16 @@
     inFlight: number;
     /** Number of times that the answer passes from one failure domain to another on its way. */
     crossings: number;
+    /** Whether it is in the failure domain of this instance. */
+    isNear: boolean;
     /** Whether it lately couldn't forward a request. */
     isSuspect: boolean;
 }
 
 /** Number of requests under way that weigh as much as one crossing, whose bytes are billed. */
 const CROSSING_REQUESTS = 24;
+/** The same for an instance in another failure domain, whose way is longer. */
+const FAR_REQUESTS = 2;
 /** The same for a suspect, which is used only if there is no other. */
 const SUSPECT_REQUESTS = 10_000;
 
@@ -28,8 +32,9 @@
     let best: Candidate | undefined;
     let bestCost = Infinity;
     for (const candidate of candidates) {
-        const { inFlight, crossings, isSuspect } = candidate;
-        const cost = inFlight + crossings * CROSSING_REQUESTS + (isSuspect ? SUSPECT_REQUESTS : 0) + random();
+        const { inFlight, crossings, isNear, isSuspect } = candidate;
+        const wayCost = crossings * CROSSING_REQUESTS + (isNear ? 0 : FAR_REQUESTS);
+        const cost = inFlight + wayCost + (isSuspect ? SUSPECT_REQUESTS : 0) + random();
         if (cost < bestCost) {
             best = candidate;
             bestCost = cost;
--- a/src/process/gateway/forwardingPeer.ts
+++ b/src/process/gateway/forwardingPeer.ts
@@ -11,6 +11,8 @@
 
 /** Maximum number of connections to one peer. */
 const CONNECTIONS = 64;
+/** Time within which a connection to a peer must be established, in milliseconds; several round trips. */
+const CONNECT_TIMEOUT_MS = 250;
 /** Maximum idle time of a connection to a peer, in milliseconds; below the time after which the peer closes it. */
 const MAX_IDLE_MS = 8_000;
 /** Time for which a peer that couldn't forward a request isn't used while there are others, in milliseconds. */
@@ -45,7 +47,10 @@
         private readonly ended: (outcome: ForwardingOutcome) => void,
     ) {
         const { host, port } = peer.address;
-        this.connections = new TargetConnections(`${host}:${port}`, clock, { limit: CONNECTIONS });
+        this.connections = new TargetConnections(`${host}:${port}`, clock, {
+            limit: CONNECTIONS,
+            connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        });
     }
 
     get name(): string {
--- a/src/process/gateway/forwardingPeers.ts
+++ b/src/process/gateway/forwardingPeers.ts
@@ -70,6 +70,7 @@
                 view,
                 inFlight: view.inFlight,
                 crossings: crossingsOf([targetDomain, view.peer.domain, domain]),
+                isNear: view.peer.domain === domain,
                 // One that is no longer named may be cut off, too, or have ended.
                 isSuspect: view.isSuspect || toldAt < this.lastToldAt || (view.isUnproven && !isIdempotent),
             }));
--- a/src/process/gateway/reachWatch.ts
+++ b/src/process/gateway/reachWatch.ts
@@ -14,9 +14,14 @@
 const CHECK_TIMEOUT_MS = 200;
 /** Time between two checks of a path that is cut, in milliseconds. */
 const RECHECK_MS = 500;
-/** Maximum number of cut paths that are checked at one look, and the same while the instance is cut off. */
-const CHECKS_AT_ONCE = 8;
-const CHECKS_WHILE_CUT_OFF = 2;
+/**
+ * Maximum number of cut paths that are checked at one look, and the same after one was found to be open again, since paths are
+ * mostly cut and opened together.
+ */
+const CHECKS_AT_ONCE = 2;
+const CHECKS_AFTER_OPENING = 8;
+/** Time after such an opening for which more paths are checked at once, in milliseconds. */
+const OPENING_MS = 2_000;
 /** Number of further paths that are checked when one is found to be cut. */
 const CONFIRMING_CHECKS = 2;
 /** Time after bytes of a target for which it counts as reached without a check, in milliseconds. */
@@ -35,6 +40,8 @@
     private lookedAt: number;
     private isConfirming = false;
     private cutOffAt: number | undefined;
+    /** Monotonic time in milliseconds at which a cut path was last found to be open again. */
+    private openedAt = -Infinity;
 
     constructor(
         private readonly options: {
@@ -107,7 +114,7 @@
             }
         }
         due.sort((a, b) => (this.recheckAt.get(a) ?? 0) - (this.recheckAt.get(b) ?? 0))
-            .slice(0, this.isCutOff ? CHECKS_WHILE_CUT_OFF : CHECKS_AT_ONCE)
+            .slice(0, now - this.openedAt < OPENING_MS ? CHECKS_AFTER_OPENING : CHECKS_AT_ONCE)
             .forEach(target => void this.check(target));
         if (this.cutOffAt === undefined) {
             void this.confirm();
@@ -146,19 +153,30 @@
     }
 
     private async checkAnew(target: GatewayTarget): Promise<boolean> {
-        const { id, service, address } = target.listed.entry;
-        const result = await this.options.check(address, CHECK_TIMEOUT_MS);
+        const result = await this.options.check(target.listed.entry.address, CHECK_TIMEOUT_MS);
         if (result !== "established") {
             this.cut(target, `a connection was ${result === "refused" ? "refused" : "not established in time"}`);
             return false;
         }
-        if (this.logged.delete(target)) {
-            this.options.logger.info(`The path to target ${id} is open again.`, { service });
+        if (target.reach.isCut) {
+            this.opened(target);
         }
         target.reach.checked();
         return true;
     }
 
+    /** Has the other cut paths be checked soon, because the one to this target is open again. */
+    private opened(target: GatewayTarget): void {
+        const { id, service } = target.listed.entry;
+        this.openedAt = this.options.clock.monotonicMs();
+        for (const other of this.options.targets()) {
+            this.recheckAt.set(other, Math.min(this.openedAt, this.recheckAt.get(other) ?? 0));
+        }
+        if (this.logged.delete(target)) {
+            this.options.logger.info(`The path to target ${id} is open again.`, { service });
+        }
+    }
+
     private cut(target: GatewayTarget, cause: string): void {
         this.recheckAt.set(target, this.options.clock.monotonicMs() + RECHECK_MS);
         if (!target.reach.cut()) {
@@ -220,9 +238,6 @@
             ms: Math.round(now - (this.cutOffAt ?? now)),
         });
         this.cutOffAt = undefined;
-        for (const target of this.options.targets()) {
-            this.recheckAt.set(target, now);
-        }
     }
 
     /** Monotonic time in milliseconds at which any target was last heard from. */
