--- a/src/process/gateway/__tests__/intakeReplay.test.ts
+++ b/src/process/gateway/__tests__/intakeReplay.test.ts
@@ -2,7 +2,7 @@
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 import { decideAfterAttempt, type AttemptEnd } from "../../../request/decideAfterAttempt.js";
 import type { GatewayCall } from "../../../request/gatewayCall.js";
-import type { PlacementQuery } from "../../../request/gatewayRequest.js";
+import type { PlacementQuery } from "../../../request/gatewayServices.js";
 import type { Route } from "../../../version/routeConfig.js";
 import type { RouteLookup } from "../../../version/routeLookup.js";
 import { createRetryBudget } from "../createRetryBudget.js";
--- a/src/process/gateway/__tests__/requestLog.test.ts
+++ b/src/process/gateway/__tests__/requestLog.test.ts
@@ -1,7 +1,8 @@
 import { expect, test } from "@jest/globals";
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
-import type { GatewayRequest, RequestOutcome } from "../../../request/gatewayRequest.js";
+import type { GatewayRequest } from "../../../request/gatewayRequest.js";
+import type { RequestOutcome } from "../../../request/gatewayServices.js";
 import { refuse } from "../../../request/refusal.js";
 import type { LogFields } from "../../observability/logger.js";
 import { RequestLog } from "../requestLog.js";
--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import type { GatewayCall } from "../../../request/gatewayCall.js";
-import type { Placement } from "../../../request/gatewayRequest.js";
+import type { Placement } from "../../../request/gatewayServices.js";
 import type { Route } from "../../../version/routeConfig.js";
 import type { RouteLookup } from "../../../version/routeLookup.js";
 import { GatewayTarget } from "../gatewayTarget.js";
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -4,7 +4,8 @@
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
 import type { TargetFailure } from "../../connection/targetConnections.js";
 import type { AnswerFacts, CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
-import { GatewayRequest, type ExcessivePart, type GatewayServices } from "../../request/gatewayRequest.js";
+import { GatewayRequest } from "../../request/gatewayRequest.js";
+import type { ExcessivePart, GatewayServices } from "../../request/gatewayServices.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { refuseStopping } from "../../request/refuseStopping.js";
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -1,4 +1,5 @@
-import type { GatewayRequest, RequestOutcome } from "../../request/gatewayRequest.js";
+import type { GatewayRequest } from "../../request/gatewayRequest.js";
+import type { RequestOutcome } from "../../request/gatewayServices.js";
 import type { Refusal } from "../../request/refusal.js";
 import { countRefusal } from "../observability/countRefusal.js";
 import type { Clock } from "../runtime/clock.js";
--- a/src/process/gateway/requestLog.ts
+++ b/src/process/gateway/requestLog.ts
@@ -1,5 +1,6 @@
 import type { GatewayCall } from "../../request/gatewayCall.js";
-import type { AttemptRecord, GatewayRequest, RequestOutcome } from "../../request/gatewayRequest.js";
+import type { GatewayRequest } from "../../request/gatewayRequest.js";
+import type { AttemptRecord, RequestOutcome } from "../../request/gatewayServices.js";
 import type { Refusal } from "../../request/refusal.js";
 import type { Clock } from "../runtime/clock.js";
 import type { LogFields, Logger } from "../observability/logger.js";
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -1,5 +1,5 @@
 import type { AttemptEnd } from "../../request/decideAfterAttempt.js";
-import type { Placement, PlacementQuery } from "../../request/gatewayRequest.js";
+import type { Placement, PlacementQuery } from "../../request/gatewayServices.js";
 import { refuse } from "../../request/refusal.js";
 import { refuseStopping } from "../../request/refuseStopping.js";
 import type { GatewayCall } from "../../request/gatewayCall.js";
