--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -1,8 +1,6 @@
 import { isDeepStrictEqual } from "node:util";
-import { checkPath } from "../../connection/checkPath.js";
 import { createGatewayServer, type GatewayServer } from "../../connection/gatewayServer.js";
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
-import type { TargetFailure } from "../../connection/targetConnections.js";
 import type { AnswerFacts, CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest } from "../../request/gatewayRequest.js";
 import type { ExcessivePart, GatewayServices } from "../../request/gatewayServices.js";
@@ -22,6 +20,7 @@
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import { endWithProcess } from "./endWithProcess.js";
+import { GatewayPaths } from "./gatewayPaths.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import { GatewayTargets } from "./gatewayTargets.js";
@@ -30,13 +29,10 @@
 import { KeyAssigners } from "./keyAssigners.js";
 import { changeBetween, type KeyChange } from "./keyChange.js";
 import { KeyOwners } from "./keyOwners.js";
-import { LeaseHandover } from "./leaseHandover.js";
 import { LeavingExchange } from "./leavingExchange.js";
 import { LimitAdmitter } from "./limitAdmitter.js";
 import { LimitExchange, type Permit } from "./limitExchange.js";
-import { PeerForwarding } from "./peerForwarding.js";
 import { parsePeerAddress, PeerPort, type PeerAddress } from "./peerPort.js";
-import { ReachWatch } from "./reachWatch.js";
 import type { RetryLimit } from "./retryLimit.js";
 import { startReadinessServer } from "./readinessServer.js";
 import { RequestLog, type ServiceState } from "./requestLog.js";
@@ -135,9 +131,7 @@
     private readonly limits: LimitExchange;
     private readonly leaving: LeavingExchange;
     private readonly relay: StoreRelay;
-    private readonly reach: ReachWatch;
-    private readonly forwarding: PeerForwarding;
-    private readonly handover: LeaseHandover;
+    private readonly paths: GatewayPaths;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
     private readonly placement: TargetPlacement;
@@ -171,7 +165,7 @@
             logger: loggers("bundles"),
             onChange: lookup => {
                 this.server.setLimits(lookup.config.limits);
-                this.forwarding.setLimits(lookup.config.limits);
+                this.paths.setLimits(lookup.config.limits);
                 this.split.reset();
                 this.assigners.update(lookup.config.services);
             },
@@ -199,7 +193,7 @@
             send: (address, content) => this.peers.send(address, content),
             silent: () => this.assigners.lease.holderSilent(),
             domain: options.domain,
-            isCutOff: () => this.reach.isCutOff,
+            isCutOff: () => this.paths.isCutOff,
         });
         this.peers.handle(this.relay.receive);
         this.load = new SharedLoad({
@@ -209,16 +203,6 @@
             port: this.peers,
             assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
         });
-        this.reach = new ReachWatch({
-            clock,
-            logger: loggers("dispatch"),
-            targets: () => this.targets.all(),
-            check: (address, timeoutMs) => checkPath(address, timeoutMs, clock),
-            pathCut: target => {
-                target.pathCut();
-                this.forwarding.needed();
-            },
-        });
         this.admitter = new LimitAdmitter(clock);
         this.limits = new LimitExchange({
             clock,
@@ -250,8 +234,8 @@
                 return target !== undefined && isAccepting(target.listed) ? target : undefined;
             },
             drainMs: options.drainMs,
-            isOutOfReach: target => target.reach.isCut && this.reach.isCutOff && !this.forwarding.hasPeers,
-            crossings: target => (target.reach.isCut ? this.forwarding.crossings(target) : undefined),
+            isOutOfReach: target => this.paths.isOutOfReach(target),
+            crossings: target => this.paths.crossings(target),
             ownersAreFresh: () => this.ownersFollower.isFresh,
             random: Math.random,
         });
@@ -307,30 +291,12 @@
             load: this.load,
             leavingStated: listed => this.leavingStated(listed),
             isSourceHeard: () => this.relay.isHeard,
-            isFit: () => !this.reach.isCutOff,
+            isFit: () => !this.paths.isCutOff,
             admitter: this.admitter,
             maxHoldMs: options.maxHoldMs,
             isFirstStart: options.isFirstStart,
             grantEnded: (service, reply) => this.metrics.counter("grants_total", { service, reply }).add(),
         });
-        this.handover = new LeaseHandover({
-            clock,
-            logger: loggers("ownership"),
-            instance,
-            isHeld: () => this.assigners.lease.isHeld(),
-            owners: () => this.owned(),
-            reaches: async ({ id, startedAtMs }) => {
-                const target = this.targets.get(id, startedAtMs);
-                return target !== undefined && this.reach.reaches(target);
-            },
-            peers: () => this.relay.peers().map(({ address }) => address),
-            passOn: successor => this.assigners.passOn(successor),
-            wasPassedOn: () => this.assigners.lease.wasPassedOn(),
-            hasMoved: () => this.assigners.lease.lookAgain(),
-            send: (address, content) => this.peers.send(address, content),
-            random: Math.random,
-        });
-        this.peers.handle(this.handover.receive);
         this.log = new RequestLog({
             clock,
             logger: loggers("callers"),
@@ -373,10 +339,10 @@
                 this.metrics.counter("attempt_failures_total", { service, type, sent: String(wasSent) }).add(),
             excessiveAnswer: (request, target, part, detail) => this.excessiveAnswer(request, target, part, detail),
             brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
-            peerTo: (...way) => this.forwarding.peerTo(...way),
-            notForwarded: (...notForwarded) => this.forwarding.notForwarded(...notForwarded),
+            peerTo: (...way) => this.paths.peerTo(...way),
+            notForwarded: (...notForwarded) => this.paths.notForwarded(...notForwarded),
             forwardingLost: peer => peer.suspect(),
-            connectionFailed: (target, failure) => this.connectionFailed(target, failure),
+            connectionFailed: (target, failure) => this.paths.connectionFailed(target, failure),
             ended: (request, outcome) => {
                 this.requests.delete(request);
                 if (outcome.type === "answered") {
@@ -386,25 +352,21 @@
                 this.observer.ended(request, outcome);
             },
         };
-        this.forwarding = new PeerForwarding({
+        this.paths = new GatewayPaths({
             clock,
-            logger: loggers("peers"),
+            loggers,
             metrics: this.metrics,
+            instance,
             domain: options.domain,
             address: options.peers,
             port: this.peers,
             platform,
-            isAssigning: () => this.assigners.lease.isHeld(),
-            assigner: () => parsePeerAddress(this.assigners.lease.assignerAddress),
-            others: () => this.relay.peers(),
-            reach: this.reach,
+            targets: this.targets,
+            assigners: () => this.assigners,
+            relay: () => this.relay,
+            suspects: () => this.suspects,
             unreadSince: () => this.stalls.unreadSince(),
-            services: {
-                ...this.services,
-                target: (id, startedAtMs) => this.targets.get(id, startedAtMs),
-                drainMs: options.drainMs,
-                isQuarantined: call => this.suspects.isQuarantined(call),
-            },
+            services: { ...this.services, drainMs: options.drainMs },
         });
         this.stalls = new StallWatch(clock, stallMs => {
             this.metrics.counter("stalls_total", {}).add();
@@ -446,12 +408,8 @@
         const port = await this.server.listen(callers.port, callers.host);
         this.disposables.add(this.peers);
         await this.peers.start();
-        this.disposables.add(this.forwarding);
-        await this.forwarding.start();
-        this.disposables.add(this.reach);
-        this.reach.start();
-        this.disposables.add(this.handover);
-        this.handover.start();
+        this.disposables.add(this.paths);
+        await this.paths.start();
         this.disposables.add(this.load);
         this.disposables.add(this.leaving);
         this.disposables.add(this.relay);
@@ -474,16 +432,16 @@
         this.endBy(began + acceptsForMs, began + answersForMs);
         void this.assigners.release();
         const elapsedMs = () => clock.monotonicMs() - began;
-        this.forwarding.stop();
-        const unfinished = () => this.server.unfinished() + this.forwarding.unfinished();
+        this.paths.stop();
+        const unfinished = () => this.server.unfinished() + this.paths.unfinished();
         while (elapsedMs() < acceptsForMs || (unfinished() > 0 && elapsedMs() < endsAfterMs)) {
             this.server.startDraining();
-            this.forwarding.startDraining();
+            this.paths.startDraining();
             await new Promise<void>(resolve => clock.setTimer(DRAIN_STEP_MS, resolve));
         }
         this.server.closeAll();
-        this.forwarding.closeAll();
-        while (this.server.closing() + this.forwarding.closing() > 0 && elapsedMs() < endsAfterMs) {
+        this.paths.closeAll();
+        while (this.server.closing() + this.paths.closing() > 0 && elapsedMs() < endsAfterMs) {
             await new Promise<void>(resolve => clock.setTimer(CLOSE_STEP_MS, resolve));
         }
         loggers("daemon").info("Stopped.", { unfinished: this.server.unfinished(), ms: Math.round(elapsedMs()) });
@@ -634,29 +592,6 @@
         this.limits.learned({ id, startedAtMs, perSecond: target.limit?.perSecond, ageMs });
     }
 
-    /** The owners of keys that this instance assigns, and whether it reaches them. */
-    private owned(): { id: string; startedAtMs: number; isReached: boolean }[] {
-        return [...this.assigners.ownerGrants().values()].flatMap(({ owners, failing }) =>
-            owners.map(owner => {
-                const { id, startedAtMs } = owner.entry;
-                const isCut = this.targets.get(id, startedAtMs)?.reach.isCut === true;
-                return { id, startedAtMs, isReached: !isCut && !failing.includes(owner) };
-            }),
-        );
-    }
-
-    private connectionFailed(target: GatewayTarget, { refused }: TargetFailure): void {
-        this.reach.connectionFailed(target);
-        if (refused && this.suspects.isConcerned(target.id)) {
-            // Behind a cut, all connections may be refused.
-            void this.reach.reachesOthers(target).then(reachesOthers => {
-                if (reachesOthers) {
-                    this.suspects.targetEnded(target.id);
-                }
-            });
-        }
-    }
-
     private excessiveAnswer(
         { call, service }: GatewayRequest,
         target: GatewayTarget,
@@ -703,7 +638,7 @@
             storeSilentMs: this.storeSilentMs(),
             storeEra: Math.max(...this.followers.map(({ latestEra }) => latestEra)),
             isAssigner: this.assigners.lease.isHeld(),
-            isCutOff: this.reach.isCutOff,
+            isCutOff: this.paths.isCutOff,
             ownersWithoutGrant: [...this.assigners.ownerGrants()].map(([service, { failing }]) => ({
                 service,
                 owners: failing.length,
