Suspect a silent instance when a request leaves it

A request that can be repeated had left that instance without marking it, so it counted as sound again as soon as nothing was under way there.

--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -566,6 +566,7 @@
     /** Sends an idempotent request through another instance, because the one that was to forward it is silent. */
     private leavePeer(attempt: Attempt, peer: ForwardingPeer): void {
         this.triedPeers.add(peer);
+        this.services.forwardingLost(peer);
         this.sendAgain(attempt, "lost", "the other instance is silent");
     }
 
--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -26,6 +26,10 @@
 ];
 /** Time after which a caller gives up, in milliseconds. */
 const CALLER_TIMEOUT_MS = 3_000;
+/** Number of times that the start of a gateway is tried. */
+const START_ATTEMPTS = 3;
+/** Number of log lines of each member that the error of a failed wait shows. */
+const LOGGED_LINES = 12;
 /** Longest time of a request, in milliseconds. */
 export const FLEET_TIMEOUT_MS = 1_500;
 const TARGET_LATENCY_MS = 500;
@@ -118,7 +122,7 @@
         for (const [index, domain] of options.gateways.entries()) {
             await fleet.addMember(`a${index}`, domain);
         }
-        await waitFor(async () => await fleet.servesAll());
+        await fleet.until("all kinds of requests are served", () => fleet.servesAll());
         return fleet;
     }
 
@@ -205,7 +209,7 @@
     /** Cuts a member off from all targets and waits until it has noticed. */
     async cutOff(member: FleetMember, kind: CutKind = "reset"): Promise<void> {
         await member.links.cut(kind);
-        await waitFor(async () => {
+        await this.until(`${member.name} has noticed that it is cut off`, async () => {
             await Promise.all(FLEET_KINDS.map(each => this.request(member, each)));
             return (await this.metric(member, "cut_off")) === 1;
         });
@@ -230,6 +234,19 @@
         for (const { address } of this.targets.targets) {
             await links.add(address);
         }
+        // Another process may take a free port before the gateway opens it.
+        for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
+            const member = await this.startProcess(name, domain, links);
+            if (member !== undefined) {
+                this.members.push(member);
+                return;
+            }
+        }
+        throw new Error(`${name} couldn't be started.`);
+    }
+
+    /** Starts a gateway; `undefined` if it can't open its ports. */
+    private async startProcess(name: string, domain: string, links: TargetLinks): Promise<FleetMember | undefined> {
         const [port, readiness, metricsPort, peers] = await freePorts(4);
         const settings = join(this.folder, `${name}.toml`);
         writeFileSync(
@@ -262,12 +279,33 @@
             stdio: ["ignore", "pipe", "inherit"],
         });
         this.children.push(child);
+        let hasEnded = false;
+        child.once("exit", () => (hasEnded = true));
         let output = "";
         child.stdout?.on("data", chunk => (output += String(chunk)));
         const lines = () => readLogLines(output);
         const signal = (sent: NodeJS.Signals) => void child.kill(sent);
-        this.members.push({ name, domain, port, metricsPort, peerPort: peers, links, lines, signal });
-        await waitFor(() => lines().some(({ message }) => message.includes("Started.")));
+        await waitFor(() => hasEnded || lines().some(({ message }) => message.includes("Started.")));
+        if (hasEnded || lines().some(({ message }) => message.includes("can't be opened"))) {
+            child.kill("SIGKILL");
+            return undefined;
+        }
+        return { name, domain, port, metricsPort, peerPort: peers, links, lines, signal };
+    }
+
+    /** Waits for a condition; the error shows what the members have logged. */
+    private async until(text: string, condition: () => Promise<boolean>): Promise<void> {
+        try {
+            await waitFor(condition);
+        } catch {
+            const lines = this.members.flatMap(({ name, lines: read }) =>
+                read()
+                    .slice(-LOGGED_LINES)
+                    .map(line => `${name} ${JSON.stringify(line)}`),
+            );
+            await this.dispose();
+            throw new Error([`It wasn't reached that ${text}.`, ...lines].join("\n"));
+        }
     }
 
     private async servesAll(): Promise<boolean> {
