--- a/src/process/gateway/forwardingPeers.ts
+++ b/src/process/gateway/forwardingPeers.ts
@@ -31,6 +31,10 @@
 
     /** Adds instances that this one was told of, and drops those that haven't been named for long. */
     told(peers: readonly Peer[]): void {
+        if (peers.length === 0) {
+            // An instance that has just begun to assign keys knows no others yet.
+            return;
+        }
         const now = this.options.clock.monotonicMs();
         this.lastToldAt = now;
         for (const peer of peers) {
