--- a/src/process/gateway/reachWatch.ts
+++ b/src/process/gateway/reachWatch.ts
@@ -101,11 +101,13 @@
         const hasStalled = now - this.lookedAt > STALL_MS;
         this.lookedAt = now;
         const due: GatewayTarget[] = [];
+        let hasCutPaths = false;
         for (const target of this.options.targets()) {
             const { reach } = target;
             if (hasStalled) {
                 reach.resume();
             } else if (reach.isCut) {
+                hasCutPaths = true;
                 if (now >= (this.recheckAt.get(target) ?? 0)) {
                     due.push(target);
                 }
@@ -116,9 +118,9 @@
         due.sort((a, b) => (this.recheckAt.get(a) ?? 0) - (this.recheckAt.get(b) ?? 0))
             .slice(0, now - this.openedAt < OPENING_MS ? CHECKS_AFTER_OPENING : CHECKS_AT_ONCE)
             .forEach(target => void this.check(target));
-        if (this.cutOffAt === undefined) {
+        if (this.cutOffAt === undefined && hasCutPaths) {
             void this.confirm();
-        } else if (this.lastHeardAt() > this.cutOffAt) {
+        } else if (this.cutOffAt !== undefined && this.lastHeardAt() > this.cutOffAt) {
             this.endCutOff();
         }
     }
