Break the import cycles of what forwards requests

Change: status and headers of an answer, with isFramed, have a file of their own; the maximum number of instances that one is told of stands with the message; the services of a request name what they use of it (RunningRequest).

--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -1,13 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as SocketServer, type AddressInfo, type Socket } from "node:net";
-import {
-    isFramed,
-    type AnswerHead,
-    type AnswerStream,
-    type CallerEnd,
-    type GatewayCall,
-    type GatewayReply,
-} from "../request/gatewayCall.js";
+import { isFramed, type AnswerHead } from "../request/answerHead.js";
+import { type AnswerStream, type CallerEnd, type GatewayCall, type GatewayReply } from "../request/gatewayCall.js";
 import { refuse, type Refusal } from "../request/refusal.js";
 import type { ClientLimits } from "../version/routeConfig.js";
 import { afterInput } from "../process/runtime/afterInput.js";
--- a/src/process/gateway/__tests__/choosePeer.test.ts
+++ b/src/process/gateway/__tests__/choosePeer.test.ts
@@ -1,5 +1,6 @@
 import { choosePeer, crossingsOf, type PeerCandidate } from "../choosePeer.js";
-import { MAX_TOLD_PEERS, selectPeers } from "../selectPeers.js";
+import { MAX_TOLD_PEERS } from "../peersMessage.js";
+import { selectPeers } from "../selectPeers.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 
 const candidate = (change: Partial<PeerCandidate> = {}): PeerCandidate => ({
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import type { HttpEndpoint } from "../../connection/httpEndpoint.js";
 import type { AnswerFacts, CallerEnd, GatewayCall, GatewayReply } from "../../request/gatewayCall.js";
 import { GatewayRequest } from "../../request/gatewayRequest.js";
-import type { ExcessivePart, GatewayServices } from "../../request/gatewayServices.js";
+import type { ExcessivePart, GatewayServices, RunningRequest } from "../../request/gatewayServices.js";
 import { HeldAnswers } from "../../request/heldAnswers.js";
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { refuseStopping } from "../../request/refuseStopping.js";
@@ -153,7 +153,7 @@
     private readiness: HttpEndpoint | undefined;
     private isDraining = false;
     /** Requests without a final answer. */
-    private readonly requests = new Set<GatewayRequest>();
+    private readonly requests = new Set<RunningRequest>();
     /** Monotonic time from which a stopping instance accepts no more requests, in milliseconds. */
     private acceptsUntil = Infinity;
     /** Monotonic time at which a stopping instance gives its last answers, in milliseconds. */
@@ -593,7 +593,7 @@
     }
 
     private excessiveAnswer(
-        { call, service }: GatewayRequest,
+        { call, service }: RunningRequest,
         target: GatewayTarget,
         part: ExcessivePart,
         detail: string,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -1,5 +1,4 @@
-import type { GatewayRequest } from "../../request/gatewayRequest.js";
-import type { RequestOutcome } from "../../request/gatewayServices.js";
+import type { RequestOutcome, RunningRequest } from "../../request/gatewayServices.js";
 import type { Refusal } from "../../request/refusal.js";
 import { countRefusal } from "../observability/countRefusal.js";
 import type { Clock } from "../runtime/clock.js";
@@ -65,7 +64,7 @@
         metrics.onCollect(() => this.collect());
     }
 
-    ended(request: GatewayRequest, outcome: RequestOutcome): void {
+    ended(request: RunningRequest, outcome: RequestOutcome): void {
         const cells = this.cellsOf(request.service);
         switch (outcome.type) {
             case "answered":
--- a/src/process/gateway/peersMessage.ts
+++ b/src/process/gateway/peersMessage.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 import { parseJson } from "../runtime/parseJson.js";
-import { MAX_TOLD_PEERS } from "./selectPeers.js";
+
+/** Maximum number of instances that one is told of, so that the datagram isn't fragmented. */
+export const MAX_TOLD_PEERS = 12;
 
 const peerSchema = z.object({
     address: z.object({ host: z.string(), port: z.number().int().min(1).max(65_535) }),
--- a/src/process/gateway/requestLog.ts
+++ b/src/process/gateway/requestLog.ts
@@ -1,6 +1,5 @@
 import type { GatewayCall } from "../../request/gatewayCall.js";
-import type { GatewayRequest } from "../../request/gatewayRequest.js";
-import type { AttemptRecord, RequestOutcome } from "../../request/gatewayServices.js";
+import type { AttemptRecord, RequestOutcome, RunningRequest } from "../../request/gatewayServices.js";
 import type { Refusal } from "../../request/refusal.js";
 import type { Clock } from "../runtime/clock.js";
 import type { LogFields, Logger } from "../observability/logger.js";
@@ -53,7 +52,7 @@
         : {};
 
 /** Failures are the most important; requests with several attempts or late answers explain more than ordinary ones. */
-const importanceOf = (request: GatewayRequest, outcome: RequestOutcome, ms: number): Importance => {
+const importanceOf = (request: RunningRequest, outcome: RequestOutcome, ms: number): Importance => {
     if (outcome.type === "refused" || (outcome.type === "answered" && outcome.status >= 500)) {
         return "failed";
     }
@@ -84,7 +83,7 @@
         },
     ) {}
 
-    ended(request: GatewayRequest, outcome: RequestOutcome): void {
+    ended(request: RunningRequest, outcome: RequestOutcome): void {
         const { call, route, service } = request;
         const ms = this.options.clock.monotonicMs() - call.arrivedAt;
         if (!this.reserveLine(importanceOf(request, outcome, ms))) {
--- a/src/process/gateway/selectPeers.ts
+++ b/src/process/gateway/selectPeers.ts
@@ -1,7 +1,5 @@
-import type { Peer } from "./peersMessage.js";
+import { MAX_TOLD_PEERS, type Peer } from "./peersMessage.js";
 
-/** Maximum number of instances that one is told of, so that the datagram isn't fragmented. */
-export const MAX_TOLD_PEERS = 12;
 /** Number of these that are left for instances of other failure domains. */
 const OTHER_DOMAINS = 5;
 
--- a/src/request/__tests__/forwardFields.test.ts
+++ b/src/request/__tests__/forwardFields.test.ts
@@ -8,7 +8,7 @@
     FORWARDED_HEADER,
     type ForwardFields,
 } from "../forwardFields.js";
-import { isFramed } from "../gatewayCall.js";
+import { isFramed } from "../answerHead.js";
 
 const FIELDS: ForwardFields = {
     target: "stock-1",
--- a/src/request/forwardFields.ts
+++ b/src/request/forwardFields.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { Header } from "../connection/peerProtocol.js";
 import { parseJson } from "../process/runtime/parseJson.js";
-import { isFramed, type AnswerHead } from "./gatewayCall.js";
+import { isFramed, type AnswerHead } from "./answerHead.js";
 
 /** Header of a request that an instance forwards to another one, which sends it to its target. */
 export const FORWARD_HEADER = "sassafrasloom-forward";
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -7,12 +7,11 @@
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
 import { maxIdleMs, RUN_OUT_MS } from "./attemptLimits.js";
+import { isFramed, type AnswerHead } from "./answerHead.js";
 import { decideConnectionWait } from "./decideConnectionWait.js";
 import { decideAfterAttempt, type AttemptEnd, type NextStep, type RetryCause } from "./decideAfterAttempt.js";
 import {
-    isFramed,
     type AnswerFacts,
-    type AnswerHead,
     type AnswerStream,
     type CallerEnd,
     type GatewayCall,
--- a/src/request/gatewayServices.ts
+++ b/src/request/gatewayServices.ts
@@ -8,7 +8,6 @@
 import type { Route } from "../version/routeConfig.js";
 import type { AttemptEnd, NextStep, RetryCause } from "./decideAfterAttempt.js";
 import type { AnswerFacts, CallerEnd, GatewayCall } from "./gatewayCall.js";
-import type { GatewayRequest } from "./gatewayRequest.js";
 import type { HeldAnswers } from "./heldAnswers.js";
 import type { Refusal } from "./refusal.js";
 
@@ -38,6 +37,20 @@
     stopsInMs?: number;
 }
 
+/** A request of a caller, as its process stops, logs and counts it. */
+export interface RunningRequest {
+    readonly call: GatewayCall;
+    readonly route: Route;
+    readonly service: string;
+    readonly attempts: readonly AttemptRecord[];
+    /** Number of times that it was sent to a target. */
+    readonly sends: number;
+    /** Time from its arrival until its final answer is due, in milliseconds. */
+    readonly allowedMs: number;
+    /** Has it end by a monotonic time in milliseconds. */
+    endBy(stopsAt: number): void;
+}
+
 /** Services of the process that a request depends on. */
 export interface GatewayServices {
     clock: Clock;
@@ -72,7 +85,7 @@
     /** Called when an attempt at a target has got no complete answer. */
     attemptFailed(service: string, type: TargetFailure["type"], wasSent: boolean): void;
     /** Called when a target's answer was broken off because its content or what surrounds it was too large. */
-    excessiveAnswer(request: GatewayRequest, target: GatewayTarget, part: ExcessivePart, detail: string): void;
+    excessiveAnswer(request: RunningRequest, target: GatewayTarget, part: ExcessivePart, detail: string): void;
     /**
      * The other instance through which a request is sent to a target to which the path is cut; `undefined` if the path isn't cut, or
      * there is no instance but those that were tried.
@@ -89,7 +102,7 @@
     /** Called when a connection to a target couldn't be established. */
     connectionFailed(target: GatewayTarget, failure: TargetFailure): void;
     /** Called once when the request has ended. */
-    ended(request: GatewayRequest, outcome: RequestOutcome): void;
+    ended(request: RunningRequest, outcome: RequestOutcome): void;
 }
 
 /** The part of an answer that was too large: its content, or its head and framing. */
