--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, request as send, type IncomingMessage } from "node:http";
 import { tmpdir } from "node:os";
+import { text } from "node:stream/consumers";
 import { join } from "node:path";
 import { readLogLines, type LogLine } from "../../src/commands/explainRequest.js";
 import { leaseKey, LEASE_TABLE } from "../../src/process/gateway/assignerLease.js";
@@ -89,6 +90,7 @@
     links: TargetLinks;
     lines(): LogLine[];
     signal(name: NodeJS.Signals): void;
+    hasEnded(): boolean;
 }
 
 /** Gateways as processes with one store and targets. Each reaches the targets through proxies of its own. */
@@ -122,7 +124,12 @@
         for (const [index, domain] of options.gateways.entries()) {
             await fleet.addMember(`a${index}`, domain);
         }
-        await fleet.until("all kinds of requests are served", () => fleet.servesAll());
+        try {
+            await fleet.until("all kinds of requests are served", () => fleet.servesAll());
+        } catch (error) {
+            await fleet.dispose();
+            throw error;
+        }
         return fleet;
     }
 
@@ -186,11 +193,11 @@
                     },
                 },
                 response => {
-                    let text = "";
-                    response.on("data", chunk => (text += String(chunk)));
+                    let content = "";
+                    response.on("data", chunk => (content += String(chunk)));
                     response.on("error", fail);
                     response.on("end", () =>
-                        resolve({ id, status: response.statusCode ?? 0, headers: response.headers, body: text }),
+                        resolve({ id, status: response.statusCode ?? 0, headers: response.headers, body: content }),
                     );
                 },
             );
@@ -202,7 +209,7 @@
 
     /** Value of one of a member's metrics, given with its labels. */
     async metric(member: Pick<FleetMember, "metricsPort">, name: string): Promise<number> {
-        const line = (await this.metrics(member)).split("\n").find(text => text.startsWith(`sassafrasloom_${name} `));
+        const line = (await this.metrics(member)).split("\n").find(each => each.startsWith(`sassafrasloom_${name} `));
         return Number(line?.split(" ").at(-1) ?? 0);
     }
 
@@ -215,9 +222,17 @@
         });
     }
 
-    /** Text of a member's metrics. */
-    async metrics({ metricsPort }: Pick<FleetMember, "metricsPort">): Promise<string> {
-        return (await fetch(`http://127.0.0.1:${metricsPort}/metrics`)).text();
+    /** Text of a member's metrics, read on a connection of its own: the end of an idle one would fail it. */
+    metrics({ metricsPort }: Pick<FleetMember, "metricsPort">): Promise<string> {
+        return new Promise((resolve, reject) => {
+            const target = { host: "127.0.0.1", port: metricsPort, path: "/metrics", agent: false };
+            const sent = send(target, response => {
+                text(response).then(resolve, reject);
+            });
+            sent.on("error", reject);
+            sent.setTimeout(CALLER_TIMEOUT_MS, () => sent.destroy(new Error("no metrics in time")));
+            sent.end();
+        });
     }
 
     async dispose(): Promise<void> {
@@ -286,25 +301,39 @@
         const lines = () => readLogLines(output);
         const signal = (sent: NodeJS.Signals) => void child.kill(sent);
         await waitFor(() => hasEnded || lines().some(({ message }) => message.includes("Started.")));
-        if (hasEnded || lines().some(({ message }) => message.includes("can't be opened"))) {
+        const isPortTaken = lines().some(({ message }) => message.includes("can't be opened"));
+        const hasMetrics = await this.metrics({ metricsPort }).then(
+            () => true,
+            () => false,
+        );
+        if (hasEnded || isPortTaken || !hasMetrics) {
             child.kill("SIGKILL");
             return undefined;
         }
-        return { name, domain, port, metricsPort, peerPort: peers, links, lines, signal };
+        return {
+            name,
+            domain,
+            port,
+            metricsPort,
+            peerPort: peers,
+            links,
+            lines,
+            signal,
+            hasEnded: () => hasEnded,
+        };
     }
 
     /** Waits for a condition; the error shows what the members have logged. */
-    private async until(text: string, condition: () => Promise<boolean>): Promise<void> {
+    async until(state: string, condition: () => Promise<boolean>): Promise<void> {
         try {
             await waitFor(condition);
-        } catch {
+        } catch (error) {
             const lines = this.members.flatMap(({ name, lines: read }) =>
                 read()
                     .slice(-LOGGED_LINES)
                     .map(line => `${name} ${JSON.stringify(line)}`),
             );
-            await this.dispose();
-            throw new Error([`It wasn't reached that ${text}.`, ...lines].join("\n"));
+            throw new Error([`It wasn't reached that ${state}.`, ...lines].join("\n"), { cause: error });
         }
     }
 
