--- a/src/process/gateway/peerForwarding.ts
+++ b/src/process/gateway/peerForwarding.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { Clock } from "../runtime/clock.js";
 import { DisposableStore } from "../runtime/disposableStore.js";
+import { decideNotForwarded } from "./decideNotForwarded.js";
 import type { ForwardingPeer } from "./forwardingPeer.js";
 import { ForwardingPeers } from "./forwardingPeers.js";
 import type { GatewayPlatform } from "./gatewayPlatform.js";
@@ -156,13 +157,13 @@
 
     /** Handles a request that another instance hasn't sent to its target; `isLast` if no further instance is tried. */
     notForwarded(target: GatewayTarget, peer: ForwardingPeer, { refusal }: TargetFailure, isLast: boolean): void {
-        if (refusal?.type === "owner-unreachable" || refusal?.type === "no-owner") {
-            if (isLast) {
-                // The others don't reach it either, so it may have ended.
+        switch (decideNotForwarded(refusal?.type, isLast)) {
+            case "suspect-instance":
+                peer.suspect();
+                return;
+            case "doubt-target":
                 target.unansweredCall(this.options.clock.monotonicMs());
-            }
-        } else {
-            peer.suspect();
+                return;
         }
     }
 
--- a/src/request/__tests__/forwardFields.test.ts
+++ b/src/request/__tests__/forwardFields.test.ts
@@ -15,6 +15,7 @@
     startedAtMs: 1_700_000_000_000,
     address: "10.0.0.9:8080",
     ageMs: 12.5,
+    targetLatencyMs: 500,
     isIdempotent: true,
     isAdmitted: false,
 };
--- a/src/request/forwardFields.ts
+++ b/src/request/forwardFields.ts
@@ -22,6 +22,8 @@
     address: z.string(),
     /** Time since the caller's request arrived, in milliseconds. */
     ageMs: z.number().min(0),
+    /** Time in which an answer of its route is expected, in milliseconds. */
+    targetLatencyMs: z.number().min(0),
     /** Whether the request may run more than once. */
     isIdempotent: z.boolean(),
     /** Whether the stated limit of the target has admitted it. */
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -6,6 +6,7 @@
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import { maxIdleMs, RUN_OUT_MS } from "./attemptLimits.js";
+import { decideConnectionWait } from "./decideConnectionWait.js";
 import { encodeForwardedHead, type ForwardFields } from "./forwardFields.js";
 import type { AnswerFacts, AnswerStream, CallerEnd, GatewayCall, GatewayReply } from "./gatewayCall.js";
 import { refuse, type Refusal } from "./refusal.js";
@@ -88,11 +89,63 @@
             this.refuse(refusal);
             return;
         }
+        if (target.connections.queue.hasFree()) {
+            this.sendIfAdmitted(target);
+        } else {
+            this.waitForConnection(target);
+        }
+    }
+
+    /** Waits for a connection to the target, or refuses the request if none is expected in time. */
+    private waitForConnection(target: GatewayTarget): void {
+        const { queue } = target.connections;
+        const waitMs = decideConnectionWait({
+            connections: target.connectionLimit,
+            queued: queue.size,
+            expectedMs: target.expectedMs(),
+            waitedMs: 0,
+            leftMs: this.leftMs(),
+            targetLatencyMs: this.fields.targetLatencyMs,
+        });
+        if (waitMs === undefined) {
+            this.refuse(this.refusalOfFull(target));
+            return;
+        }
+        let isOver = false;
+        let isReserved = false;
+        const end = () => {
+            if (isOver || this.isDone) {
+                return;
+            }
+            isOver = true;
+            const refusal = this.refusalNow(target) ?? (isReserved ? undefined : this.refusalOfFull(target));
+            if (refusal === undefined) {
+                this.sendIfAdmitted(target);
+            } else {
+                this.refuse(refusal);
+            }
+            leave();
+        };
+        const leave = queue.join(() => {
+            isReserved = true;
+            this.dispose.push(afterInput(end));
+        });
+        this.dispose.push(leave);
+        this.dispose.push(this.services.clock.setTimer(waitMs, () => this.dispose.push(afterInput(end))));
+    }
+
+    private refusalOfFull({ id }: GatewayTarget): Refusal {
+        return refuse("overloaded", `All connections to target ${id} are in use.`, BUSY_PAUSE_S);
+    }
+
+    /** Sends the request to its target, if the target has no limit or its limit admits the request. */
+    private sendIfAdmitted(target: GatewayTarget): void {
         const { limit } = target;
         if (limit === undefined || this.fields.isAdmitted) {
             this.send(target);
             return;
         }
+        const { id } = target;
         let isSynchronous = true;
         const cancel = this.services.permit(target, limit, permit => {
             if (permit.type === "refused") {
@@ -146,9 +199,7 @@
         if (intake.type === "resting") {
             return refuse("overloaded", `Target ${id} takes no requests for a while.`, intake.forMs / 1_000);
         }
-        return target.connections.queue.hasFree()
-            ? undefined
-            : refuse("overloaded", `All connections to target ${id} are in use.`, BUSY_PAUSE_S);
+        return undefined;
     }
 
     /** Milliseconds that are left of the time that the forwarding instance allows. */
@@ -163,10 +214,12 @@
         }
         const refusal =
             this.leftMs() <= 0 ? refuse("deadline-passed", "Its time has passed.") : this.refusalNow(target);
-        if (refusal === undefined) {
+        if (refusal !== undefined) {
+            this.refuse(refusal);
+        } else if (target.connections.queue.hasFree()) {
             this.send(target);
         } else {
-            this.refuse(refusal);
+            this.refuse(this.refusalOfFull(target));
         }
     }
 
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -37,6 +37,8 @@
 const EXPECTED_SERVICE_SHARE = 0.25;
 /** Share of the time left after which an idempotent request without any answer is sent to another target. */
 const SILENCE_SHARE = 0.5;
+/** Number of times that a request is sent to other instances because paths to targets are cut. */
+const MAX_FORWARDINGS = 4;
 
 /** Name of the field in an answer's head that states after which delay its caller may return. */
 const RETRY_AFTER = "retry-after";
@@ -82,6 +84,8 @@
     private readonly notOwners = new Set<GatewayTarget>();
     /** Instances that didn't forward it, or answered nothing. */
     private readonly triedPeers = new Set<ForwardingPeer>();
+    /** Number of times that it was sent to another instance. */
+    private forwardings = 0;
     private readonly limited = new Map<GatewayTarget, number>();
     /** Whether it waits for the permit to send to a target with a limit. */
     private isWaitingForPermit = false;
@@ -249,12 +253,14 @@
 
     /** The instance through which the request is sent to a target, if the direct path is cut and one is left to be tried. */
     private peerTo(target: GatewayTarget): ForwardingPeer | undefined {
-        return this.services.peerTo(target, this.triedPeers, this.isIdempotent);
+        return this.forwardings < MAX_FORWARDINGS
+            ? this.services.peerTo(target, this.triedPeers, this.isIdempotent)
+            : undefined;
     }
 
     /** Whether neither this instance nor one that is left to be tried reaches a target. */
     private isOutOfReach(target: GatewayTarget): boolean {
-        return target.reach.isCut && this.triedPeers.size > 0 && this.peerTo(target) === undefined;
+        return target.reach.isCut && this.forwardings > 0 && this.peerTo(target) === undefined;
     }
 
     private hasConnection(target: GatewayTarget): boolean {
@@ -395,6 +401,7 @@
             held: this.services.heldAnswers.create(),
         };
         this.attempt = attempt;
+        this.forwardings += peer === undefined ? 0 : 1;
         target.started();
         let head: AnswerHead | undefined;
         let facts: AnswerFacts | undefined;
@@ -495,6 +502,7 @@
             startedAtMs: entry.startedAtMs,
             address: entry.address,
             ageMs: Math.max(0, this.services.clock.monotonicMs() - this.call.arrivedAt),
+            targetLatencyMs: this.route.targetLatencyMs,
             isIdempotent: this.isIdempotent,
             isAdmitted: limit !== undefined,
         };
@@ -737,6 +745,10 @@
             const text = `Target ${target.id} can't be reached through other instances (${failure.detail}).`;
             const delayS = failure.refusal?.retryAfterSeconds ?? this.pauseSeconds();
             this.giveUp(target, refuse(failure.refusal?.type ?? "owner-unreachable", text, delayS));
+            if (failure.refusal?.type === "overloaded") {
+                // It may pass the request on to another target.
+                this.triedPeers.delete(peer);
+            }
         }
         this.next(attempt, "not-sent");
     }
--- a/test/failure/forwardedAnswers.test.ts
+++ b/test/failure/forwardedAnswers.test.ts
@@ -181,7 +181,7 @@
         const unmarked = await ask(passing.peerPort, "/drawing/1", { "x-request-id": "u1", "x-deadline-ms": "1000" });
         expect(unmarked.status).toBe(400);
         const fields = { target: drawings.id, startedAtMs: 1, address: drawings.address, ageMs: 0 };
-        const marked = JSON.stringify({ ...fields, isIdempotent: true, isAdmitted: false });
+        const marked = JSON.stringify({ ...fields, targetLatencyMs: 500, isIdempotent: true, isAdmitted: false });
         const other = await ask(passing.peerPort, "/drawing/1", {
             "x-request-id": "u2",
             "x-deadline-ms": "1000",
--- a/test/failure/forwardingInstances.test.ts
+++ b/test/failure/forwardingInstances.test.ts
@@ -36,6 +36,15 @@
     const ask = (kind: FleetKind, count: number): Promise<FleetAnswer[]> =>
         Promise.all(Array.from({ length: count }, () => fleet.request(cutOff, kind)));
 
+    /** Cuts an instance off and waits until the other one forwards requests of it. */
+    const cutOffBehindPassing = async (): Promise<void> => {
+        await fleet.cutOff(cutOff);
+        await fleet.until(`${passing.name} forwards requests`, async () => {
+            await ask("order", 4);
+            return (await fleet.metric(passing, 'forwarded_requests_total{direction="taken",outcome="answered"}')) > 0;
+        });
+    };
+
     /** Refusals that promise that a request hasn't run, although it has. */
     const falsePromises = (answers: readonly FleetAnswer[]): string[] =>
         answers.filter(({ id, status }) => PROMISES.includes(status) && fleet.targets.hasRun(id)).map(({ id }) => id);
@@ -60,7 +69,7 @@
 
     // Guards against a promise that a request hasn't run, or a second run, when the hop to the target is lost.
     it("leave no doubt about what ran when they are killed", async () => {
-        await fleet.cutOff(cutOff);
+        await cutOffBehindPassing();
         fleet.targets.targets.forEach(target => (target.workMs = 400));
         const orders = ask("order", 30);
         const moves = ask("move", 30);
@@ -75,11 +84,26 @@
         expect(answers.some(({ status }) => status === 502 || status === 504)).toBe(true);
         expect((await drawings).some(({ status }) => status === 200)).toBe(true);
         fleet.targets.targets.forEach(target => (target.workMs = 20));
-        await waitFor(async () => (await ask("order", 10)).every(({ status }) => status === 200));
+        await fleet.until("orders are answered through the instance that is left", async () =>
+            (await ask("order", 10)).every(({ status }) => status === 200),
+        );
+    });
+
+    // Guards against refusals of a burst that the targets could take, when one of the other instances has ended.
+    it("pass on a burst when only one of them is left", async () => {
+        await cutOffBehindPassing();
+        passing.signal("SIGKILL");
+        await waitFor(() => passing.hasEnded());
+        // The others read the ends of its connections.
+        await pause(200);
+        for (let burst = 0; burst < 5; burst++) {
+            const answers = await ask("order", 20);
+            expect(answers.filter(({ status }) => status !== 200)).toEqual([]);
+        }
     });
 
     it("answer what they have taken when they stop", async () => {
-        await fleet.cutOff(cutOff);
+        await cutOffBehindPassing();
         fleet.targets.targets.forEach(target => (target.workMs = 400));
         const orders = ask("order", 12);
         await pause(150);
