Replace the table of led connections as a whole in tests of fleets

This is also the likely cause of metrics that couldn't be read before; that isn't shown. The file is now written beside and renamed. The wait after the cut shows the members' logs when it fails.

--- a/test/failure/forwardingInstances.test.ts
+++ b/test/failure/forwardingInstances.test.ts
@@ -133,7 +133,9 @@
         expect(answers.every(({ headers }) => Number(headers["retry-after"]) > 0)).toBe(true);
         expect(await taken()).toEqual(before);
         await Promise.all(fleet.members.map(({ links }) => links.heal()));
-        await waitFor(async () => (await ask("order", 4)).every(({ status }) => status === 200));
+        await fleet.until("orders are answered after the cut", async () =>
+            (await ask("order", 4)).every(({ status }) => status === 200),
+        );
     });
 
     it("don't ask a target that wants a rest from them", async () => {
--- a/test/support/targetLinks.ts
+++ b/test/support/targetLinks.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from "node:fs";
+import { renameSync, writeFileSync } from "node:fs";
 import { FaultProxy } from "./faultProxy.js";
 
 /**
@@ -58,7 +58,9 @@
 
     private write(): void {
         const redirections = [...this.links].map(([address, { proxy, cut }]) => [address, leadsTo(proxy, cut)]);
-        writeFileSync(this.file, JSON.stringify(Object.fromEntries(redirections)));
+        // Replaced as a whole, since gateways read it at any moment.
+        writeFileSync(`${this.file}.new`, JSON.stringify(Object.fromEntries(redirections)));
+        renameSync(`${this.file}.new`, this.file);
     }
 }
 
