--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -8,23 +8,12 @@
 import { leaseKey, LEASE_TABLE } from "../../src/process/gateway/assignerLease.js";
 import { freePorts } from "./freePorts.js";
 import { OwningTargets, type OwningTarget } from "./owningTargets.js";
+import { ROUTE_COLUMNS } from "./routeColumns.js";
 import { TableService } from "./tableService.js";
 import { TargetLinks, type CutKind } from "./targetLinks.js";
 import { waitFor } from "./waitFor.js";
 
 const PROGRAM = "dist/platform/main.js";
-const ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "prefix",
-    "route_type",
-    "timeout_ms",
-    "target_latency_ms",
-    "priority",
-    "service",
-    "max_attempts",
-    "backends",
-];
 /** Time after which a caller gives up, in milliseconds. */
 const CALLER_TIMEOUT_MS = 3_000;
 /** Number of times that the start of a gateway is tried. */
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -7,6 +7,7 @@
 import { MemoryRowStore } from "./memoryRowStore.js";
 import type { ScriptedTarget } from "./scriptedTarget.js";
 import { waitFor } from "./waitFor.js";
+import { ROUTE_COLUMNS } from "./routeColumns.js";
 
 /** Timeout of the test routes, in milliseconds. */
 export const ROUTE_TIMEOUT_MS = 1_500;
@@ -14,19 +15,6 @@
 /** Time for which a leaving target may get requests, in milliseconds. */
 export const DRAIN_MS = 2_000;
 
-const ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "prefix",
-    "route_type",
-    "timeout_ms",
-    "target_latency_ms",
-    "priority",
-    "service",
-    "max_attempts",
-    "backends",
-];
-
 /** A config with a route for reads and one for orders, both of the service `stock`, and the given further routes. */
 export const standInConfig = (version: number, routes: unknown[][] = []): unknown => ({
     version: `r${version}`,
