--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -147,6 +147,20 @@
     }
 });
 
+// A truncated answer without a length was passed on as a whole one.
+test("guards against a reset that is taken for the end of an answer because it is read with its last bytes", async () => {
+    const target = await startScriptedTarget(({ socket }) => {
+        socket.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+        socket.resetAndDestroy();
+    });
+    const connections = new TargetConnections(target.address, systemClock);
+    disposals.push(() => connections.dispose(), target.dispose);
+    for (let round = 0; round < 100; round++) {
+        const { failure } = await receive(connections);
+        expect(failure?.type).toBe("broken");
+    }
+});
+
 test.each([
     ["a head of 400 lines", "X-A: b\r\n".repeat(400), 400, undefined],
     ["a head of 5,000 lines", "X-A: b\r\n".repeat(5_000), 0, "excessive-framing"],
--- a/src/connection/resettingConnector.ts
+++ b/src/connection/resettingConnector.ts
@@ -83,7 +83,7 @@
     readLimit: ReadLimit;
     /** Called with each connection that is established. */
     onConnect?: (socket: Socket) => void;
-    /** Called when a connection fails, before the HTTP client handles the failure. */
+    /** Called when a connection fails, also by a reset, before the HTTP client handles it. */
     onReset?: () => void;
     clock?: Clock;
 }): buildConnector.connector => {
@@ -101,6 +101,8 @@
                 return;
             }
             socket.once("error", onReset);
+            // Node.js reports a reset as a proper end if it reads it together with the last bytes. There is no peer then.
+            socket.once("end", () => (socket.remoteAddress === undefined ? onReset() : undefined));
             resetOnDestroy(socket);
             limitReads(socket, readLimit);
             onConnect(socket);
