--- a/src/connection/connectionCloser.ts
+++ b/src/connection/connectionCloser.ts
@@ -17,6 +17,10 @@
     bytesReadBefore: number;
 }
 
+/** Whether an answer states where it ends, so that its caller notices if it is cut. */
+const statesEnd = (response: ServerResponse): boolean =>
+    response.chunkedEncoding || response.hasHeader("content-length");
+
 /**
  * Closes connections of callers in stages (RFC 9112, section 9.6): first for writing, and in full when the caller has closed its
  * side. A connection that is closed while bytes of its caller are unread, or come afterwards, is reset, and the part of the last
@@ -83,7 +87,7 @@
         if (socket === null) {
             // The answers before it aren't complete. What was written of this one follows the event.
             response.once("socket", () => process.nextTick(() => this.cut(response)));
-        } else if (response.chunkedEncoding || response.hasHeader("content-length")) {
+        } else if (statesEnd(response)) {
             this.close(socket);
         } else {
             // Only the end of the connection delimits it.
@@ -91,6 +95,15 @@
         }
     }
 
+    /** Closes a connection at once. An answer on it that isn't complete doesn't look so. */
+    destroy(socket: Socket, unfinished: Iterable<ServerResponse>): void {
+        if ([...unfinished].some(response => response.headersSent && !statesEnd(response))) {
+            socket.resetAndDestroy();
+        } else {
+            socket.destroy();
+        }
+    }
+
     private begin(socket: Socket, lingerMs = this.options.lingerMs ?? DEFAULT_LINGER_MS): boolean {
         if (socket.destroyed || this.lingering.has(socket)) {
             return false;
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -237,18 +237,24 @@
             }
             closeWhenDraining();
         };
+        /** Starts an answer that ends with its connection if its target didn't state where it ends. */
+        const startAnswer = (head: AnswerHead, length?: number) => {
+            if (isFramed(head) || request.method === "HEAD") {
+                writeHead(head, length);
+            } else {
+                response.useChunkedEncodingByDefault = false;
+                writeHead(head, undefined);
+                closeAfterAnswer();
+            }
+        };
         return {
             canClose: () => connection.exchanges.size === 1,
             answer: (head, body) =>
                 turn.run(() => {
-                    const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
-                    if (isFramed(head) || request.method === "HEAD") {
-                        writeHead(head, length);
-                    } else {
-                        response.useChunkedEncodingByDefault = false;
-                        writeHead(head, undefined);
-                        closeAfterAnswer();
-                    }
+                    startAnswer(
+                        head,
+                        body.reduce((sum, chunk) => sum + chunk.length, 0),
+                    );
                     response.end(body.length === 1 ? body[0] : Buffer.concat(body));
                 }),
             refuse: refusal =>
@@ -258,7 +264,7 @@
                 }),
             stream: (head, onDrain): AnswerStream => {
                 turn.run(() => {
-                    writeHead(head, undefined);
+                    startAnswer(head);
                     response.on("drain", onDrain);
                 });
                 const writes = new MergedWrites(response);
@@ -454,7 +460,12 @@
         unfinished: () => [...connections.values()].reduce((sum, { exchanges }) => sum + exchanges.size, 0),
         dispose: () => {
             SocketServer.prototype.close.call(server);
-            connections.forEach((_, socket) => socket.destroy());
+            connections.forEach(({ exchanges }, socket) =>
+                closer.destroy(
+                    socket,
+                    [...exchanges].map(({ response }) => response),
+                ),
+            );
         },
     };
 };
--- a/src/request/forwardFields.ts
+++ b/src/request/forwardFields.ts
@@ -47,14 +47,20 @@
 export const decodeForwardFields = (headers: IncomingHttpHeaders): ForwardFields | undefined =>
     forwardFieldsSchema.safeParse(parseJson(String(headers[FORWARD_HEADER] ?? ""))).data;
 
-/** The head of a target's answer as it is returned to the instance that forwarded the request. */
-export const encodeForwardedHead = (head: AnswerHead): AnswerHead => ({
-    status: head.status,
-    headers: [
-        ...head.headers.filter(({ name }) => name.toLowerCase() !== FORWARDED_HEADER),
-        { name: FORWARDED_HEADER, value: isFramed(head) ? FRAMED : UNFRAMED },
-    ],
-});
+/**
+ * The head of a target's answer as it is returned to the instance that forwarded the request. Between instances each answer states
+ * its end, so that one that ends early is noticed.
+ */
+export const encodeForwardedHead = (head: AnswerHead): AnswerHead => {
+    const headers = head.headers.filter(({ name }) => name.toLowerCase() !== FORWARDED_HEADER);
+    const added = isFramed(head)
+        ? [{ name: FORWARDED_HEADER, value: FRAMED }]
+        : [
+              { name: FORWARDED_HEADER, value: UNFRAMED },
+              { name: "transfer-encoding", value: "chunked" },
+          ];
+    return { status: head.status, headers: [...headers, ...added] };
+};
 
 /** The headers of the target's answer; `undefined` if the answer is a refusal of the instance that was to send the request. */
 export const decodeForwardedHeaders = (headers: readonly Header[]): Header[] | undefined => {
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -63,13 +63,13 @@
 export interface GatewayReply {
     /**
      * Sends an answer. If the target didn't state its length, the connection is closed to end it: the answer may have
-     * been truncated, and a length header would mark it as complete.
+     * been truncated, and a length or a last chunk would mark it as complete.
      */
     answer(head: AnswerHead, body: Buffer[]): void;
     /** Whether the connection can be closed after this answer, because no other request is pending on it. */
     canClose(): boolean;
     refuse(refusal: Refusal): void;
-    /** Starts an answer that has not arrived completely. */
+    /** Starts an answer that has not arrived completely. It ends with the connection if the target didn't state its length. */
     stream(head: AnswerHead, onDrain: () => void): AnswerStream;
 }
 
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -516,11 +516,20 @@
             attempt.sent?.abort(detail);
             return;
         }
+        if (!this.canEnd(head as AnswerHead)) {
+            attempt.sent?.abort("the answer has no length and is too large to be held");
+            return;
+        }
         const stream = this.reply.stream(head as AnswerHead, () => attempt.sent?.resume());
         this.stream = stream;
         attempt.held.take().forEach(chunk => stream.data(chunk));
     }
 
+    /** Whether an answer can be ended: one without a length closes its connection, on which other requests may be pending. */
+    private canEnd(head: AnswerHead): boolean {
+        return isFramed(head) || !this.isIdempotent || this.reply.canClose();
+    }
+
     /** Whether an answer can be streamed: everything except its completeness must have been checked. */
     private canStream(attempt: Attempt, head: AnswerHead | undefined, facts: AnswerFacts | undefined): boolean {
         return (
@@ -652,8 +661,7 @@
         if (this.isDone) {
             return;
         }
-        if (!isFramed(head) && this.route.repeatability === "idempotent" && !this.reply.canClose()) {
-            // The connection would have to be closed while other requests are pending on it.
+        if (!this.canEnd(head)) {
             attempt.record.end += ", without a length";
             this.next(attempt, "lost");
             return;
