Continue relayed changes from what the next source knew (CONFIG)

An instance acted on an old row, for example without a route that had been added, until the row changed once more. Nothing in its log showed it: the relayed state counted as recent, so it didn't read the store.

Cause: an instance that begins to relay changes stated as their beginning the version up to which it had last read the table itself. What it had learned since from the former source lies in between and isn't passed on. An instance that had missed a message of the former source took the next one for all that had changed.

It takes a lost message and a change of the source within 1.6 s.

The first message now states the version that was known before the first read; who is behind it notices the gap and reads the store.

--- a/src/process/gateway/__tests__/storeRelay.test.ts
+++ b/src/process/gateway/__tests__/storeRelay.test.ts
@@ -4,6 +4,7 @@
 import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
+import { waitFor } from "../../../../test/support/waitFor.js";
 import type { RowStore } from "../rowStore.js";
 import { StoreRelay } from "../storeRelay.js";
 import { TableFollower } from "../tableFollower.js";
@@ -23,6 +24,8 @@
     /** Number of times that messages ended. */
     silences: number;
     isFrozen: boolean;
+    /** Whether the datagrams to it are lost. */
+    isDeaf: boolean;
     /** Whether it can't reach the store. */
     isCutOff: boolean;
 }
@@ -57,6 +60,7 @@
             calls: 0,
             silences: 0,
             isFrozen: false,
+            isDeaf: false,
             isCutOff: false,
             relay: new StoreRelay({
                 clock,
@@ -66,7 +70,7 @@
                 send: ({ port }, content) => {
                     datagrams++;
                     const receiver = instances[port - 1];
-                    if (random() >= lossShare && !receiver.isFrozen) {
+                    if (random() >= lossShare && !receiver.isFrozen && !receiver.isDeaf) {
                         clock.setTimer(1, () => receiver.relay.receive(content, addressOf(index)));
                     }
                 },
@@ -197,6 +201,30 @@
         dispose();
     });
 
+    // A missed change wasn't noticed, so a config wasn't in force until the next one.
+    it("guards against a change that is missed because the next source hasn't passed it on", async () => {
+        const cluster = await startInstances(4);
+        const { clock, store, instances, become, dispose } = cluster;
+        await settle(cluster);
+        const [source, next, ...others] = instances;
+        others.forEach(instance => (instance.isDeaf = true));
+        store.put(TABLE, "t1", 1);
+        await waitFor(async () => {
+            await advanceInSteps(clock, 10);
+            return next.rows.has("t1");
+        });
+        source.isFrozen = true;
+        source.follower.dispose();
+        others.forEach(instance => (instance.isDeaf = false));
+        become(1);
+        // The followers make themselves known to the next source.
+        await advanceInSteps(clock, 1_100);
+        store.put(TABLE, "t2", 2);
+        await advanceInSteps(clock, 300);
+        dispose();
+        expect(others.map(({ rows }) => [rows.get("t1"), rows.get("t2")])).toEqual(others.map(() => ["1", "2"]));
+    });
+
     it("serves an instance that can't reach the store", async () => {
         const cluster = await startInstances(3);
         const { clock, store, instances, dispose } = cluster;
--- a/src/process/gateway/relayStream.ts
+++ b/src/process/gateway/relayStream.ts
@@ -6,9 +6,10 @@
 /** Changes that an instance has read from a table. */
 export interface TableStep {
     era: number;
-    /** Version of the store up to which the table has been read. */
+    /** Version up to which the table was known before, and up to which it has been read. */
+    from: number;
     to: number;
-    /** Changed rows; `undefined` if the whole table was read. */
+    /** All changes in between; `undefined` if the whole table was read. */
     rows: RelayedRow[] | undefined;
 }
 
@@ -17,7 +18,7 @@
  * that has missed a part, or a row that is too large for a datagram, notices the gap and reads the store itself.
  *
  * @example
- * stream.add({ era: 0, to: 17, rows: [{ key: "stock-7", version: 17, value: "eyJ9" }] });
+ * stream.add({ era: 0, from: 9, to: 17, rows: [{ key: "stock-7", version: 17, value: "eyJ9" }] });
  * stream.take(12); // [{ table: "servers", era: 0, from: 9, to: 17, ageMs: 12, rows: [...] }]
  */
 export class RelayStream {
@@ -33,15 +34,20 @@
         return this.rows.length > 0;
     }
 
-    add({ era, to, rows }: TableStep): void {
-        this.era = era;
-        this.position = to;
+    add({ era, from, to, rows }: TableStep): void {
         if (rows === undefined) {
             this.passedOn = to;
             this.rows = [];
         } else {
+            if (from !== this.position) {
+                // This instance knows changes that it hasn't read from the store and can't pass on.
+                this.passedOn = from;
+                this.rows = [];
+            }
             this.rows.push(...rows);
         }
+        this.era = era;
+        this.position = to;
     }
 
     /** Returns the changes since the last call in parts that fit in a datagram each; at least one, which may have no rows. */
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -319,7 +319,7 @@
         } else {
             followed.replaced(fresh);
         }
-        this.options.relay?.read({ era, to: version, rows: undefined });
+        this.options.relay?.read({ era, from: version, to: version, rows: undefined });
         return "changed";
     }
 
@@ -362,10 +362,11 @@
                 }
             }
         }
-        this.position = Math.max(this.position, version);
+        const from = this.position;
+        this.position = Math.max(from, version);
         const { relay } = this.options;
         // Rows that were read before this instance passes changes on can't be passed on any more.
-        relay?.read({ era, to: this.position, rows: relay.isSource() ? applied : undefined });
+        relay?.read({ era, from, to: this.position, rows: relay.isSource() ? applied : undefined });
         return rows.length > 0 ? "changed" : "quiet";
     }
 
