Notice calls to the store that are lost before an instance is in touch again (CONFIG)

Configs above 3,000 bytes aren't relayed; a relayed message only shows that one was missed.

Cause: three things that add up. A held call of 4 s ends with its timeout, 4.9 s after it began, also if a relayed message shows meanwhile that the store has changes. While changes are relayed, the connections aren't used, and when the relay ends after 1.6 s, the first call is held for 4 s on one that may have died. And each further call may take another connection that has died with it. A machine is in touch again 3 s after a fault.

A held call now ends 0.3 s after a message that shows changes it hasn't brought. The first call after relayed changes isn't held. After a call without an answer, further calls are made on new connections. Calls for configs and targets are held for 1.5 s, so that a lost one has ended 2.4 s after it began; that concerns instances that get no relayed changes.

--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -1,10 +1,10 @@
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { advanceInSteps } from "../../../../test/support/advanceInSteps.js";
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import { waitFor } from "../../../../test/support/waitFor.js";
-import type { StoredRow } from "../rowStore.js";
+import type { RowStore, StoredRow } from "../rowStore.js";
 import { TableFollower } from "../tableFollower.js";
 
 const createFollower = (
@@ -427,3 +427,81 @@
         follower.dispose();
     });
 });
+
+describe("TableFollower beside a relay", () => {
+    const HELD_MS = 1_500;
+    const MAX_AGE_MS = 1_600;
+    /** Time after which a call without an answer ends, in addition to its wait, in milliseconds. */
+    const TIMEOUT_MS = 900;
+
+    const start = async (path: {
+        /** Whether calls for changes get no answer. */
+        isDead: boolean;
+    }) => {
+        const clock = new ManualClock();
+        const rows = new Map<string, string>();
+        /** Waits of the calls for changes, in milliseconds. */
+        const waits: number[] = [];
+        const answer = ok({ type: "changes" as const, era: 0, version: 5, rows: [] });
+        const store: RowStore = {
+            snapshot: () => Promise.resolve(ok({ era: 0, version: 5, rows: [] })),
+            row: () => Promise.reject(new Error("not called")),
+            transact: () => Promise.reject(new Error("not called")),
+            changes: (_, __, waitMs, signal) =>
+                new Promise(resolve => {
+                    waits.push(waitMs);
+                    const lost = () => resolve(err({ type: "platform-unknown", detail: "no answer" }));
+                    const { isDead } = path;
+                    signal?.addEventListener("abort", lost);
+                    // The store answers in no time.
+                    const endsInMs = waitMs + (isDead ? TIMEOUT_MS : 1);
+                    clock.setTimer(endsInMs, isDead ? lost : () => resolve(answer));
+                }),
+        };
+        const follower = new TableFollower({
+            store,
+            table: "t",
+            clock,
+            logger: SILENT_LOGGER,
+            waitMs: () => HELD_MS,
+            pauseMs: () => 0,
+            followed: {
+                replaced: () => undefined,
+                restored: () => undefined,
+                changed: ({ key, value }) => {
+                    rows.set(key, String(value));
+                    return undefined;
+                },
+                eraBegan: () => undefined,
+                recovered: () => undefined,
+            },
+            relay: { maxAgeMs: MAX_AGE_MS, isSource: () => false, read: () => undefined },
+        });
+        follower.start();
+        await advanceInSteps(clock, 20);
+        const relay = (from: number) => follower.relayed({ table: "t", era: 0, from, to: from, ageMs: 0, rows: [] });
+        return { clock, follower, waits, path, relay };
+    };
+
+    // A config that is too large for the relay wasn't in force for 6 s after the connections to the store had died.
+    it("guards against a held call on a dead connection when a relayed message shows that changes were missed", async () => {
+        const { clock, follower, waits, path, relay } = await start({ isDead: true });
+        relay(6);
+        path.isDead = false;
+        await advanceInSteps(clock, 500);
+        follower.dispose();
+        expect(waits.slice(0, 2)).toEqual([HELD_MS, 0]);
+    });
+
+    it("guards against a first held call on a connection that has died while changes were relayed", async () => {
+        const { clock, follower, waits, relay } = await start({ isDead: false });
+        for (let elapsedMs = 0; elapsedMs < 2 * HELD_MS; elapsedMs += 400) {
+            relay(5);
+            await advanceInSteps(clock, 400);
+        }
+        waits.length = 0;
+        await advanceInSteps(clock, MAX_AGE_MS + 100);
+        follower.dispose();
+        expect(waits).toEqual([0, HELD_MS]);
+    });
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -48,10 +48,10 @@
 import { TargetPlacement } from "./targetPlacement.js";
 
 /**
- * Time for which the store holds calls for changes of configs and targets, which must apply within seconds; in
- * milliseconds.
+ * Time for which the store holds calls for changes of configs and targets, in milliseconds. A call that is lost is noticed before
+ * the instance has to apply changes again, 3 s after a fault.
  */
-const CONFIG_WAIT_MS = 4_000;
+const CONFIG_WAIT_MS = 1_500;
 /** The same for rows shared among instances. Answers of a stale owner reveal it, so these calls may be less frequent. */
 const SHARED_WAIT_MS = 12_000;
 /** Pause between reads of target changes, in milliseconds; all changes during the pause are read with one call. */
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../runtime/clock.js";
+import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { PlatformError } from "../store/platformError.js";
 import type { KeyChange } from "./keyChange.js";
@@ -23,6 +23,9 @@
 /** Time within which the store answers a call if there are changes, in milliseconds; a call that takes longer found none. */
 const READ_MS = 30;
 
+/** Time within which the store answers a held call for changes that have been made, in milliseconds. */
+const HELD_ANSWER_MS = 300;
+
 /**
  * Maximum wait for relayed changes before it is checked whether this instance has to read the store, in milliseconds; it may
  * have become the one that passes changes on.
@@ -87,10 +90,16 @@
     private isRefreshRequested = false;
     private endPause: () => void = () => undefined;
     private heldCall = new AbortController();
+    /** Whether the store holds the call under way until there are changes. */
+    private isCallHeld = false;
     /** Monotonic time in milliseconds until which the relayed state is recent enough. */
     private relayedUntil = -Infinity;
     /** Whether the store has to be read, because relayed changes were missed or a request needs the current state. */
     private isReadNeeded = false;
+    /** Whether the path to the store may have failed unnoticed, since the changes were relayed. */
+    private isPathUnknown = false;
+    /** Cancels the end of the held call, which must have been answered by then. */
+    private cancelEndOfCall: TimerCancellation | undefined;
 
     constructor(
         private readonly options: {
@@ -180,6 +189,7 @@
             return;
         }
         if (era !== this.era || this.position < from) {
+            this.endHeldCall();
             this.readInstead();
             return;
         }
@@ -215,6 +225,15 @@
         return true;
     }
 
+    /** Ends a held call that isn't answered although there are changes; its connection delivers nothing any more. */
+    private endHeldCall(): void {
+        const { heldCall, isCallHeld } = this;
+        if (isCallHeld) {
+            const reason = new Error("A held call isn't answered although there are changes.");
+            this.cancelEndOfCall ??= this.options.clock.setTimer(HELD_ANSWER_MS, () => heldCall.abort(reason));
+        }
+    }
+
     /** Reads the store although the changes are relayed. */
     private readInstead(): void {
         if (this.isRelayed()) {
@@ -254,12 +273,14 @@
 
     dispose(): void {
         this.disposed = true;
+        this.cancelEndOfCall?.();
         this.wake();
     }
 
     private async run(): Promise<void> {
         while (!this.disposed) {
             if (this.isRelayed()) {
+                this.isPathUnknown = true;
                 await this.pause(Math.min(RELAY_CHECK_MS, this.relayedUntil - this.options.clock.monotonicMs()));
                 continue;
             }
@@ -326,10 +347,15 @@
     private async follow(): Promise<FollowerStep> {
         const { store, table, followed, logger } = this.options;
         // While the store fails, calls without a wait detect its recovery earliest.
-        const waitMs = this.isFailing || this.isReadNeeded ? 0 : this.options.waitMs();
+        this.isCallHeld = !this.isFailing && !this.isReadNeeded && !this.isPathUnknown;
         this.isReadNeeded = false;
+        this.isPathUnknown = false;
         this.heldCall = new AbortController();
+        const waitMs = this.isCallHeld ? this.options.waitMs() : 0;
         const changes = await store.changes(table, this.position, waitMs, this.heldCall.signal);
+        this.isCallHeld = false;
+        this.cancelEndOfCall?.();
+        this.cancelEndOfCall = undefined;
         if (this.isRestored) {
             return "restored";
         }
--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 import { readLogLines, type LogLine } from "../../src/commands/explainRequest.js";
 import { leaseKey, LEASE_TABLE } from "../../src/process/gateway/assignerLease.js";
+import { FaultProxy } from "./faultProxy.js";
 import { freePorts } from "./freePorts.js";
 import { OwningTargets, type OwningTarget } from "./owningTargets.js";
 import { ROUTE_COLUMNS } from "./routeColumns.js";
@@ -31,22 +32,27 @@
 const SERVICE_OF: Record<FleetKind, string> = { lookup: "stock", move: "stock", drawing: "drawings", order: "orders" };
 const isRepeatable = (kind: FleetKind): boolean => kind === "lookup" || kind === "drawing";
 
-const configOf = (version: number): unknown => ({
+const routeOf = (kind: FleetKind, name: string = kind): unknown[] => [
+    name,
+    "shop.example",
+    `/${name}/`,
+    isRepeatable(kind) ? "idempotent" : "non_idempotent",
+    FLEET_TIMEOUT_MS,
+    TARGET_LATENCY_MS,
+    FLEET_KINDS.indexOf(kind),
+    SERVICE_OF[kind],
+    3,
+    null,
+];
+
+const configOf = (version: number, furtherRoutes: number): unknown => ({
     version: `r${version}`,
     routes: {
         columns: ROUTE_COLUMNS,
-        rows: FLEET_KINDS.map((kind, index) => [
-            kind,
-            "shop.example",
-            `/${kind}/`,
-            isRepeatable(kind) ? "idempotent" : "non_idempotent",
-            FLEET_TIMEOUT_MS,
-            TARGET_LATENCY_MS,
-            index,
-            SERVICE_OF[kind],
-            3,
-            null,
-        ]),
+        rows: [
+            ...FLEET_KINDS.map(kind => routeOf(kind)),
+            ...Array.from({ length: furtherRoutes }, (_, index) => routeOf("drawing", `further-${index}`)),
+        ],
     },
     services: {
         columns: ["name", "health_path", "max_conns", "sharded"],
@@ -77,6 +83,8 @@
     /** Port for messages and requests of other instances. */
     peerPort: number;
     links: TargetLinks;
+    /** The path to the store. */
+    storeLink: FaultProxy;
     lines(): LogLine[];
     signal(name: NodeJS.Signals): void;
     hasEnded(): boolean;
@@ -89,6 +97,7 @@
     readonly members: FleetMember[] = [];
     private readonly folder = mkdtempSync(join(tmpdir(), "fleet-"));
     private readonly children: ChildProcess[] = [];
+    private readonly storeLinks: FaultProxy[] = [];
     private readonly agent = new Agent({ keepAlive: true });
     private nextRequest = 0;
 
@@ -122,9 +131,9 @@
         return fleet;
     }
 
-    /** Writes a version of the config. */
-    configure(version: number): void {
-        this.store.rows.put("op", "config", configOf(version));
+    /** Writes a version of the config, with further routes if it is to be large. */
+    configure(version: number, furtherRoutes = 0): void {
+        this.store.rows.put("op", "config", configOf(version, furtherRoutes));
     }
 
     async addTarget(id: string, service: string, domain: string): Promise<OwningTarget> {
@@ -156,12 +165,15 @@
             body?: string;
             headers?: Record<string, string>;
             signal?: AbortSignal;
+            /** Beginning of the path; that of the route of its kind by default. */
+            path?: string;
             /** Last part of the path, which names the request for its target; unique by default. */
             name?: string;
         } = {},
     ): Promise<FleetAnswer> {
         const id = `r${this.nextRequest++}`;
         const { key = Math.floor(Math.random() * 65_536), body = "", headers = {}, signal, name = id } = options;
+        const { path = `/${kind}/` } = options;
         return new Promise(resolve => {
             const fail = () => resolve({ id, status: 0, headers: {}, body: "" });
             const sent = send(
@@ -171,7 +183,7 @@
                     agent: this.agent,
                     signal,
                     method: isRepeatable(kind) ? "GET" : "POST",
-                    path: `/${kind}/${name}`,
+                    path: `${path}${name}`,
                     headers: {
                         host: "shop.example",
                         "x-request-id": id,
@@ -228,6 +240,7 @@
         this.children.forEach(child => child.kill("SIGKILL"));
         this.agent.destroy();
         await Promise.all(this.members.map(({ links }) => links.dispose()));
+        await Promise.all(this.storeLinks.map(link => link.dispose()));
         await this.targets.dispose();
         this.store.dispose();
         rmSync(this.folder, { recursive: true });
@@ -238,9 +251,11 @@
         for (const { address } of this.targets.targets) {
             await links.add(address);
         }
+        const storeLink = await FaultProxy.listen(`127.0.0.1:${this.store.port}`);
+        this.storeLinks.push(storeLink);
         // Another process may take a free port before the gateway opens it.
         for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
-            const member = await this.startProcess(name, domain, links);
+            const member = await this.startProcess(name, domain, links, storeLink);
             if (member !== undefined) {
                 this.members.push(member);
                 return;
@@ -250,7 +265,12 @@
     }
 
     /** Starts a gateway; `undefined` if it can't open its ports. */
-    private async startProcess(name: string, domain: string, links: TargetLinks): Promise<FleetMember | undefined> {
+    private async startProcess(
+        name: string,
+        domain: string,
+        links: TargetLinks,
+        storeLink: FaultProxy,
+    ): Promise<FleetMember | undefined> {
         const [port, readiness, metricsPort, peers] = await freePorts(4);
         const settings = join(this.folder, `${name}.toml`);
         writeFileSync(
@@ -264,7 +284,7 @@
 frontend = "127.0.0.1:${port}"
 readiness = "127.0.0.1:${readiness}"
 [platform]
-address = "127.0.0.1:${this.store.port}"
+address = "${storeLink.address}"
 `,
         );
         const args = [
@@ -306,6 +326,7 @@
             metricsPort,
             peerPort: peers,
             links,
+            storeLink,
             lines,
             signal,
             hasEnded: () => hasEnded,
