--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -139,6 +139,7 @@
     /** Finds out for all followers when the store answers again after a failure. */
     private readonly configFollower: TableFollower;
     private readonly targetsFollower: TableFollower;
+    private readonly crashesFollower: TableFollower;
     private readonly followers: TableFollower[];
     private readonly assigners: KeyAssigners;
     private readonly server: GatewayServer;
@@ -267,19 +268,15 @@
             restored: rows => this.targets.restored(rows),
             changed: row => this.targetChanged(row),
         });
-        this.followers = [
-            this.ownersFollower,
-            this.configFollower,
-            this.targetsFollower,
-            this.follow({
-                table: CRASH_TABLE,
-                ...SHARED_ROWS,
-                pauseMs: () => SHARED_CHANGES_PAUSE_MS,
-                replaced: rows => rows.forEach(row => this.suspects.rowChanged(row)),
-                restored: rows => this.suspects.restored(rows),
-                changed: row => this.suspects.rowChanged(row),
-            }),
-        ];
+        this.crashesFollower = this.follow({
+            table: CRASH_TABLE,
+            ...SHARED_ROWS,
+            pauseMs: () => SHARED_CHANGES_PAUSE_MS,
+            replaced: rows => rows.forEach(row => this.suspects.rowChanged(row)),
+            restored: rows => this.suspects.restored(rows),
+            changed: row => this.suspects.rowChanged(row),
+        });
+        this.followers = [this.ownersFollower, this.configFollower, this.targetsFollower, this.crashesFollower];
         this.assigners = new KeyAssigners({
             instance,
             peerAddress: options.peers === undefined ? undefined : `${options.peers.host}:${options.peers.port}`,
@@ -636,6 +633,12 @@
         return {
             configVersion: this.config.current?.config.version ?? 0,
             storeSilentMs: this.storeSilentMs(),
+            tables: [
+                { table: "configs", silentMs: this.configFollower.silentMs() },
+                { table: "targets", silentMs: this.targetsFollower.silentMs() },
+                { table: "owners", silentMs: this.ownersFollower.silentMs() },
+                { table: "crashes", silentMs: this.crashesFollower.silentMs() },
+            ],
             storeEra: Math.max(...this.followers.map(({ latestEra }) => latestEra)),
             isAssigner: this.assigners.lease.isHeld(),
             isCutOff: this.paths.isCutOff,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -10,6 +10,8 @@
     configVersion: number;
     /** Time since the store last answered, in milliseconds. */
     storeSilentMs: number;
+    /** Time since each followed table was last read, in milliseconds. */
+    tables: Iterable<{ table: string; silentMs: number }>;
     /** Era of the store; 0 while unknown. */
     storeEra: number;
     isAssigner: boolean;
@@ -111,6 +113,9 @@
         this.metrics.gauge("bundle_version", { domain: this.options.domain }).set(configVersion);
         this.metrics.gauge("platform_up", {}).set(storeSilentMs < STORE_DOWN_MS ? 1 : 0);
         this.metrics.gauge("platform_silence_seconds", {}).set(storeSilentMs / 1_000);
+        for (const { table, silentMs } of state.tables) {
+            this.metrics.gauge("table_silence_seconds", { table }).set(silentMs / 1_000);
+        }
         this.metrics.gauge("store_era", {}).set(storeEra);
         this.metrics.gauge("key_assigner", {}).set(isAssigner ? 1 : 0);
         this.metrics.gauge("cut_off", {}).set(state.isCutOff ? 1 : 0);
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -145,6 +145,11 @@
     bundle_version: { type: "gauge", help: "Bundle version in force.", labels: ["domain"] },
     platform_up: { type: "gauge", help: "1 while the platform answers, else 0.", labels: [] },
     platform_silence_seconds: { type: "gauge", help: "Time since the platform last answered.", labels: [] },
+    table_silence_seconds: {
+        type: "gauge",
+        help: "Time since a followed table (`configs`, `targets`, `owners` or `crashes`) was last read, by this instance or by the one that relays changes.",
+        labels: ["table"],
+    },
     store_era: {
         type: "gauge",
         help: "Era of the platform's store, which rises by one each time the store is restored from a copy; 0 while unknown.",
--- a/test/failure/configsAfterFaults.test.ts
+++ b/test/failure/configsAfterFaults.test.ts
@@ -1,6 +1,6 @@
 import { GatewayFleet } from "../support/gatewayFleet.js";
 import { seededRandom } from "../support/seededRandom.js";
-import { pause } from "../support/waitFor.js";
+import { pause, waitFor } from "../support/waitFor.js";
 
 /** Time after the end of a fault from which an instance is in touch, `stable_window_ms`, in milliseconds. */
 const STABLE_MS = 3_000;
@@ -45,4 +45,16 @@
         },
         60_000 + ROUNDS * 10_000,
     );
+
+    // An instance that didn't read one table any more was hidden by the other tables.
+    it("is old by the metrics if it can't be read", async () => {
+        fleet = await GatewayFleet.start({ gateways: ["linz"] });
+        const [member] = fleet.members;
+        const silence = () => fleet.metric(member, 'table_silence_seconds{table="configs"}');
+        await waitFor(async () => (await silence()) < STABLE_MS / 1_000);
+        member.storeLink.hold("toClient", true);
+        await waitFor(async () => (await silence()) > STABLE_MS / 1_000);
+        member.storeLink.hold("toClient", false);
+        await waitFor(async () => (await silence()) < STABLE_MS / 1_000);
+    });
 });
