Keep the renewal of connections out of the platform's adapter

The adapter only translates; that further calls use new connections after a lost one is a matter of the calls and stands with them now (createRenewingCalls). Behaviour is the same.

--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -106,6 +106,40 @@
     }
 };
 
+/** Calls to one address. */
+export interface RenewingCalls {
+    call(request: CallRequest, timeoutMs: number): Promise<CallResult>;
+    dispose(): void;
+}
+
+/**
+ * Makes calls to one address over kept connections. After a call without an answer, further calls are made on new connections, as
+ * the others may be dead, too; calls under way go on.
+ *
+ * @example
+ * const calls = createRenewingCalls("10.200.1.7:8642", 8);
+ * const result = await calls.call({ method: "GET", path: "/status" }, 900);
+ */
+export const createRenewingCalls = (address: string, connections: number): RenewingCalls => {
+    let pool = createCallPool(address, connections);
+    /** Pools with calls under way, and the one for new calls. */
+    const pools = new Set([pool]);
+    return {
+        call: async (request, timeoutMs) => {
+            const used = pool;
+            const result = await call(used, request, timeoutMs);
+            if (result.type === "unanswered" && used === pool) {
+                pool = createCallPool(address, connections);
+                pools.add(pool);
+                const forget = () => void pools.delete(used);
+                used.close().then(forget, forget);
+            }
+            return result;
+        },
+        dispose: () => pools.forEach(each => void each.destroy()),
+    };
+};
+
 /**
  * Resets the connection of a doubted response when its head has been read. The response to the call may still be due there, and
  * the next call, which starts when a response is complete, would read it as its own.
