--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -46,6 +46,7 @@
 import { isAccepting, type DirectoryTarget } from "./targetDirectory.js";
 import type { StatedLimit, TargetIntake } from "./targetIntake.js";
 import { TargetPlacement } from "./targetPlacement.js";
+import type { WarmupBound } from "./warmupBound.js";
 
 /**
  * Time for which the store holds calls for changes of configs and targets, in milliseconds. A call that is lost is noticed before
@@ -105,6 +106,10 @@
     drainMs: number;
     /** Limit on the retries of all instances together. */
     retryLimit: RetryLimit;
+    /** Bound on the requests that a cold target gets. */
+    warmupBound: WarmupBound;
+    /** Time from the request to evacuate a failure domain until its targets may get no more requests, in milliseconds. */
+    evacuateMs: number;
     /** Whether the whole system starts for the first time, so that no target holds keys yet. */
     isFirstStart?: boolean;
     platform: GatewayPlatform;
--- a/src/process/gateway/gatewayPlatform.ts
+++ b/src/process/gateway/gatewayPlatform.ts
@@ -16,6 +16,8 @@
     /** Tables of the operator's config and of the target entries. */
     tables: { config: string; configKey: string; targets: string };
     decodeConfig(value: Buffer): Result<RouteConfig, ConfigProblem>;
+    /** The failure domain that a row with this key in the config's table asks to evacuate; `undefined` for another row. */
+    decodeEvacuation(key: string): string | undefined;
     /** Decodes a target's entry; `undefined` for a row that is not a valid entry. */
     decodeTarget(id: string, value: Buffer): TargetEntry | undefined;
     fieldsOf(headers: IncomingMessage["headers"]): CallFields;
--- a/src/request/gatewayCall.ts
+++ b/src/request/gatewayCall.ts
@@ -50,6 +50,8 @@
     leaving: boolean;
     /** Time for which the target wants no requests from this instance, in milliseconds; `undefined` if it states none. */
     restMs: number | undefined;
+    /** How much longer the target is cold, in milliseconds; missing if it doesn't say so. */
+    warmupLeftMs?: number;
 }
 
 /** Load that a target reports with an answer. */
@@ -57,6 +59,8 @@
     running: number;
     waiting: number;
     slots: number;
+    /** How long work takes on the target's machine now, relative to the usual time; missing if the target doesn't say so. */
+    slowdown?: number;
 }
 
 /** Reply to the caller. Exactly one of `answer`, `refuse` and `stream` is called, unless the caller has gone. */
--- a/src/version/routeConfig.ts
+++ b/src/version/routeConfig.ts
@@ -32,6 +32,10 @@
     connectionLimit: z.number().int().positive(),
     /** Whether each key has one owning target. */
     keyed: z.boolean(),
+    /** Time for which a target is cold after it has started, in milliseconds. */
+    warmupMs: z.number().min(0).optional(),
+    /** Requests a second that a cold target tolerates; its rate isn't bounded if this is 0 or missing. */
+    warmupPerSecond: z.number().min(0).optional(),
 });
 export type RoutedService = z.infer<typeof routedServiceSchema>;
 
--- a/test/support/gatewayHarness.ts
+++ b/test/support/gatewayHarness.ts
@@ -87,6 +87,8 @@
             maxHoldMs: 10_000,
             drainMs: DRAIN_MS,
             retryLimit: { ratio: 0.2, windowMs: 10_000 },
+            warmupBound: { overage: 1.5, slack: 8 },
+            evacuateMs: 5_000,
             clock: systemClock,
             loggers: createLoggers({
                 instance,
