Make fewer calls to the store at the start of the instances

The first answer for configs and crashes that was held before the relay ran made the relayed state 12 s old, so all others read the table again.

An instance that finds no lease looks again within 60 ms before it writes, takes the first reading as that of its era, and doesn't list earlier eras in the first one. While messages of the holder come, the lease is read once a minute instead of every 20 s; their end has it read at once, as before. The relaying instance renews its held calls when the first other one follows.

--- a/src/process/gateway/__tests__/assignerLease.test.ts
+++ b/src/process/gateway/__tests__/assignerLease.test.ts
@@ -4,12 +4,15 @@
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import { AssignerLease, leaseKey, LEASE_MS, LEASE_TABLE } from "../assignerLease.js";
 
+const countCalls = ({ calls }: MemoryRowStore): number => calls.row + calls.snapshot + calls.transact;
+
 const createLease = (
     store: MemoryRowStore,
     clock: ManualClock,
     instance: string,
     incarnation = instance,
     isFit: () => boolean = () => true,
+    { random = 0.5, isHolderHeard = (): boolean => false } = {},
 ) => {
     const steps: string[] = [];
     store.storeMs = () => clock.monotonicMs() + 5_000_000;
@@ -22,7 +25,8 @@
         gained: isContinuous => steps.push(isContinuous ? "regained" : "gained"),
         lost: () => steps.push("lost"),
         isFit,
-        random: () => 0.5,
+        isHolderHeard,
+        random: () => random,
     });
     return { lease, steps };
 };
@@ -56,6 +60,40 @@
         expect(second.lease.isHeld()).toBe(true);
     });
 
+    it("guards against a write by each instance when all start at the same time", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const leases = Array.from({ length: 20 }, (_, index) => {
+            const { lease } = createLease(store, clock, `a${index}`, undefined, undefined, { random: index / 20 });
+            lease.start();
+            return lease;
+        });
+        await advanceInSteps(clock, 400);
+        expect(leases.filter(lease => lease.isHeld())).toHaveLength(1);
+        // Two reads each, and a write and a further read by those whose pauses end in the same step; a write by each takes five calls.
+        expect(countCalls(store)).toBeLessThan(20 * 4);
+    });
+
+    it("isn't read while messages of its holder come, and is read at once when they end", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const holder = createLease(store, clock, "a1");
+        holder.lease.start();
+        await advanceInSteps(clock, 200);
+        holder.lease.dispose();
+        let isHeard = true;
+        const other = createLease(store, clock, "a2", "a2", undefined, { isHolderHeard: () => isHeard });
+        other.lease.start();
+        await advanceInSteps(clock, 200);
+        const calls = countCalls(store);
+        await advanceInSteps(clock, 20_000);
+        expect(countCalls(store)).toBe(calls);
+        isHeard = false;
+        other.lease.holderSilent();
+        await advanceInSteps(clock, 200);
+        expect(other.lease.isHeld()).toBe(true);
+    });
+
     it("expires for a holder that can't reach the store", async () => {
         const store = new MemoryRowStore();
         const clock = new ManualClock();
--- a/src/process/gateway/__tests__/storeRelay.test.ts
+++ b/src/process/gateway/__tests__/storeRelay.test.ts
@@ -76,6 +76,7 @@
                 },
                 domain: "linz",
                 isCutOff: () => false,
+                began: () => instance.follower.renewHeldCall(),
                 silent: () => instance.silences++,
             }),
             follower: new TableFollower({
--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -27,8 +27,13 @@
  * lease, and several instances read it at different times.
  */
 const WATCH_MS = 5_000;
-/** The same while messages of the holder show that it holds the lease. */
-const HEARD_WATCH_MS = 20_000;
+/** The same while messages of the holder show that it holds the lease; their end has the lease read at once. */
+const HEARD_WATCH_MS = 60_000;
+/**
+ * Time in milliseconds over which instances that find no lease look at it again before they acquire it. At the start of all
+ * instances one of them acquires it first, and the others need no write.
+ */
+const ACQUIRE_SPREAD_MS = 60;
 /** Time in milliseconds over which the reads of the instances are spread when the lease of a silent holder expires. */
 const EXPIRY_SPREAD_MS = 500;
 /** Minimum interval between reads that are made before they are due, in milliseconds. */
@@ -122,6 +127,8 @@
     private watchedAt = -Infinity;
     /** Ends the pause before the next step. */
     private wake: () => void = () => undefined;
+    /** Whether the next step reads the row although messages of the holder come. */
+    private isReadRequested = true;
     /** Whether the holder's messages have ended, so that its lease may expire. */
     private isHolderSilent = false;
     /** Monotonic time in milliseconds at which the lease was first found to be free; `undefined` while it isn't. */
@@ -199,8 +206,7 @@
     /** Reads the lease before it is due, unless it has just been read; its holder may have changed. */
     lookAgain(): void {
         if (!this.isHolder && this.options.clock.monotonicMs() - this.watchedAt >= MIN_WATCH_MS) {
-            this.cancelTimer();
-            this.wake();
+            this.stepNow();
         }
     }
 
@@ -213,8 +219,7 @@
     /** Reads the lease at once, because it was passed on to this instance. */
     wasPassedOn(): void {
         if (!this.isHolder) {
-            this.cancelTimer();
-            this.wake();
+            this.stepNow();
         }
     }
 
@@ -231,16 +236,14 @@
         this.checkLost();
         return new Promise(ended => {
             this.handover = { successor, settled, ended };
-            this.cancelTimer();
-            this.wake();
+            this.stepNow();
         });
     }
 
     /** Takes the next step at once if the store is in a later era than the lease, which each instance has to learn of soon. */
     storeRestored(era: number): void {
         if (era > (this.era ?? era)) {
-            this.cancelTimer();
-            this.wake();
+            this.stepNow();
         }
     }
 
@@ -278,6 +281,13 @@
         this.cancelTimer();
     }
 
+    /** Ends the pause before the next step, which reads the row. */
+    private stepNow(): void {
+        this.isReadRequested = true;
+        this.cancelTimer();
+        this.wake();
+    }
+
     private async run(): Promise<void> {
         while (!this.disposed) {
             const pauseMs = await this.step();
@@ -295,7 +305,15 @@
         if (this.handover !== undefined) {
             return this.writeSuccessor(this.handover);
         }
-        return this.isHolder ? this.write() : this.watch();
+        if (this.isHolder) {
+            return this.write();
+        }
+        const heardPauseMs = this.heardPauseMs();
+        if (heardPauseMs > 0) {
+            return Promise.resolve(heardPauseMs);
+        }
+        this.isReadRequested = false;
+        return this.watch();
     }
 
     /** Has the lease's row name the successor. Returns the pause until the next step. */
@@ -336,18 +354,34 @@
         return isFit || now - this.freeSince >= UNFIT_WAIT_MS ? this.write() : UNFIT_PAUSE_MS;
     }
 
+    /**
+     * Time in milliseconds until the row has to be read, because messages of the holder have come since the last read that
+     * found another instance's lease; 0 if it has to be read now.
+     */
+    private heardPauseMs(): number {
+        const { clock, isHolderHeard } = this.options;
+        const isHeard = this.holderAddress !== undefined && isHolderHeard?.() === true;
+        return !isHeard || this.isReadRequested || this.isHolderSilent
+            ? 0
+            : Math.max(0, this.watchedAt + HEARD_WATCH_MS - clock.monotonicMs());
+    }
+
     /** Reads the lease and acquires it if it has expired. Returns the pause until the next step. */
     private async watch(): Promise<number> {
         const { store, clock, instance } = this.options;
         const sentAt = clock.monotonicMs();
         this.watchedAt = sentAt;
-        const reading = await store.row(LEASE_TABLE, leaseKey(this.era ?? 0));
+        const readEra = this.era ?? 0;
+        const reading = await store.row(LEASE_TABLE, leaseKey(readEra));
         if (reading.isErr()) {
             return FAILURE_PAUSE_MS * 2;
         }
         const { row, storeMs, era } = reading.value;
         if (era !== this.era) {
-            return this.enterEra(era);
+            const pauseMs = this.enterEra(era);
+            if (era !== readEra) {
+                return pauseMs;
+            }
         }
         this.recordStoreTime(storeMs, sentAt);
         const now = clock.monotonicMs();
@@ -363,7 +397,9 @@
                 return this.earlierErasEndAt - now;
             }
             this.holderAddress = undefined;
-            return this.acquire();
+            const isFirstLook = this.freeSince === undefined;
+            this.freeSince ??= now;
+            return isFirstLook ? ACQUIRE_SPREAD_MS * (this.options.random ?? Math.random)() : this.acquire();
         }
         // Only one process at a time runs under an instance's name, so an earlier one with this name has ended.
         const isFree = lease.instance === instance;
@@ -392,7 +428,9 @@
     private async write(): Promise<number> {
         const { store, clock, instance, incarnation } = this.options;
         const { era = 0 } = this;
-        const earlierRows = this.rowVersion === 0 ? await this.rowsOfEarlierEras(era) : ok({ rows: [], era });
+        // There are no eras before the first one.
+        const mayHaveEarlierRows = this.rowVersion === 0 && era > 0;
+        const earlierRows = mayHaveEarlierRows ? await this.rowsOfEarlierEras(era) : ok({ rows: [], era });
         if (earlierRows.isErr()) {
             this.checkLost();
             return FAILURE_PAUSE_MS;
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -197,6 +197,8 @@
             isSource: () => this.assigners.lease.isHeld(),
             source: () => parsePeerAddress(this.assigners.lease.assignerAddress),
             send: (address, content) => this.peers.send(address, content),
+            // The others follow changes by this instance's answers, which must not be as old as its held calls.
+            began: () => this.followers.forEach(follower => follower.renewHeldCall()),
             silent: () => this.assigners.lease.holderSilent(),
             domain: options.domain,
             isCutOff: () => this.paths.isCutOff,
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -77,6 +77,8 @@
             /** Address of the instance that does; `undefined` while it is unknown or is this one. */
             source: () => PeerAddress | undefined;
             send: (address: PeerAddress, content: Buffer) => void;
+            /** Called when the first instance gets changes from this one. */
+            began: () => void;
             /** Called when no messages come any more; the source may have changed. */
             silent: () => void;
             /** Failure domain of this instance. */
@@ -145,7 +147,11 @@
         const key = `${sender.host}:${sender.port}`;
         if (this.followers.has(key) || this.followers.size < MAX_FOLLOWERS) {
             const { domain, isCutOff = false } = message;
+            const wasSending = this.isSending;
             this.followers.set(key, { address: sender, askedAt: now, domain, isCutOff });
+            if (this.isSending && !wasSending) {
+                this.options.began();
+            }
         }
         return true;
     };
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -98,6 +98,8 @@
     private isReadNeeded = false;
     /** Whether the path to the store may have failed unnoticed, since the changes were relayed. */
     private isPathUnknown = false;
+    /** Whether the held call was ended to be made anew, which is no failure of the store. */
+    private isCallRenewed = false;
     /** Cancels the end of the held call, which must have been answered by then. */
     private cancelEndOfCall: TimerCancellation | undefined;
 
@@ -170,6 +172,14 @@
         this.readInstead();
     }
 
+    /** Ends a held call and makes it anew, because changes are to be noticed within the present wait from now on. */
+    renewHeldCall(): void {
+        if (this.isCallHeld) {
+            this.isCallRenewed = true;
+            this.heldCall.abort();
+        }
+    }
+
     /** Calls the store again after a failure, because it answers another follower. */
     retry(): void {
         if (this.isFailing) {
@@ -356,11 +366,13 @@
         this.isCallHeld = false;
         this.cancelEndOfCall?.();
         this.cancelEndOfCall = undefined;
+        const { isCallRenewed } = this;
+        this.isCallRenewed = false;
         if (this.isRestored) {
             return "restored";
         }
         if (changes.isErr()) {
-            return this.failed(changes.error);
+            return isCallRenewed ? "quiet" : this.failed(changes.error);
         }
         const { era } = changes.value;
         if (!this.checkEra(era)) {
