Consult a caller when a connection to a target is established

A request whose connection takes its 0.5 s is written that much later, whatever has been decided meanwhile. `maySend` is asked right before the request is written; if it returns false, the request fails with `withheld` before it is sent. Nothing uses it yet.

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -250,3 +250,31 @@
     // A piece of 8 KB has 1,365 such chunks, and two turns can follow each other within an iteration.
     expect(await mostAtOnce(connections, length, () => 1)).toBeLessThanOrEqual(2_732);
 });
+
+// An evacuation may end the time for requests to a target while the connection for one is established.
+test("guards against a request that is sent although that isn't allowed any more when its connection is established", async () => {
+    const target = await startScriptedTarget(({ answer }) => answer());
+    const connections = new TargetConnections(target.address, systemClock);
+    let isAllowed = true;
+    const send = () =>
+        new Promise<string>(resolve => {
+            const events: string[] = [];
+            const answer = { head: () => undefined, data: () => undefined, sent: () => void events.push("sent") };
+            connections.send(
+                REQUEST,
+                {
+                    ...answer,
+                    end: () => resolve([...events, "answered"].join()),
+                    failed: ({ type }) => resolve([...events, type].join()),
+                },
+                { fresh: true, maySend: () => isAllowed },
+            );
+        });
+    expect(await send()).toBe("sent,answered");
+    const begun = send();
+    isAllowed = false;
+    expect(await begun).toBe("withheld");
+    expect(target.arrivals).toHaveLength(1);
+    connections.dispose();
+    await target.dispose();
+});
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -51,6 +51,8 @@
         | "broken"
         | "aborted"
         | "connection-limit"
+        /** It may not be sent any more since its connection is established. */
+        | "withheld"
         /** Another instance, to which the request was forwarded, has sent nothing of it to the target. */
         | "not-forwarded"
         /** The head or the framing of the answer was too large. */
@@ -152,9 +154,14 @@
      * Sends a request on an idle connection, or on a new one if there is none or `fresh` is set. Connections idle for
      * more than `maxIdleMs` are closed, as the target may be about to close them. At the limit an idle connection is
      * closed to open a new one; if none is idle, the request fails with `connection-limit` before it is sent. At an address
-     * that isn't valid, each request fails before it is sent.
+     * that isn't valid, each request fails before it is sent. `maySend` is consulted when the connection is established; if it
+     * returns `false`, the request fails with `withheld` before it is sent.
      */
-    send(request: TargetRequest, answer: TargetAnswer, options: { fresh: boolean; maxIdleMs?: number }): SentRequest {
+    send(
+        request: TargetRequest,
+        answer: TargetAnswer,
+        options: { fresh: boolean; maxIdleMs?: number; maySend?: () => boolean },
+    ): SentRequest {
         if (!this.hasValidAddress) {
             const detail = `${this.address} isn't a host and a port; correct the entry of the target.`;
             return this.failUnsent(answer, { type: "broken", refused: false, detail });
@@ -167,6 +174,7 @@
         connection.idle = false;
         let controller: Dispatcher.DispatchController | undefined;
         let abortReason: string | undefined;
+        let isWithheld = false;
         let settled = false;
         const fail = (error: unknown) => {
             if (settled) {
@@ -175,11 +183,16 @@
             settled = true;
             this.discard(connection);
             const failure = describeFailure(error);
-            answer.failed(abortReason === undefined ? failure : { ...failure, type: "aborted", detail: abortReason });
+            const type = isWithheld ? "withheld" : "aborted";
+            answer.failed(abortReason === undefined ? failure : { ...failure, type, detail: abortReason });
         };
         const handler: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
                 controller = started;
+                if (abortReason === undefined && options.maySend?.() === false) {
+                    isWithheld = true;
+                    abortReason = "the target may get no more requests";
+                }
                 if (abortReason !== undefined) {
                     started.abort(new Error(abortReason));
                     return;
