Evacuate a failure domain while its row is in the config's table

The rows were decoded and ignored. Each instance now knows which domains are evacuated and since when it has read the row (evacuations.ts), also through the relay and over a restore of the store. The time is checked at each placement, after each wait, and right before a request is written, also at an instance through which a request is forwarded.

Keys that were released for a target whose domain is evacuated meanwhile go to another one, so that two evacuations in quick succession move them once. After the end, keys return in few moves at a time. New gauges and log lines show the domains and the keys that remain.

--- a/src/process/gateway/__tests__/decideIntake.test.ts
+++ b/src/process/gateway/__tests__/decideIntake.test.ts
@@ -40,6 +40,23 @@
             { leavingAt: 9_000, rest: rest(9_500) },
             { type: "last-choice" },
         ],
+        ["an evacuated target as first choice", { evacuation: { sendsUntil: 10_001 } }, { type: "last-choice" }],
+        ["requests after the time for an evacuation", { evacuation: { sendsUntil: 10_000 } }, { type: "evacuated" }],
+        [
+            "a request that arrived before that time and is sent after it",
+            { evacuation: { sendsUntil: 10_000 }, arrivedAt: 9_000 },
+            { type: "evacuated" },
+        ],
+        [
+            "a rest that hides the end of an evacuation",
+            { evacuation: { sendsUntil: 10_000 }, rest: rest(11_000) },
+            { type: "evacuated" },
+        ],
+        [
+            "a drain time that is prolonged by an evacuation",
+            { evacuation: { sendsUntil: 13_000 }, leavingAt: 8_400 },
+            { type: "leaving" },
+        ],
     ];
 
     it.each(CASES)("guards against %s", (_, change, intake) => {
--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -202,3 +202,20 @@
         expect(plan(6)).toEqual([]);
     });
 });
+
+describe("planMoves with targets whose evacuation has ended", () => {
+    /** Guards against a third of all keys that moves back at once, each key without an owner for a moment. */
+    it("gives them keys in few moves at a time, until they have their share", () => {
+        const ids = Array.from({ length: 48 }, (_, index) => `t${index}`);
+        let ranges = evenRanges(ids.slice(16));
+        const targets = ids.map((id, index) => target(id, { isReturning: index < 16 }));
+        const sharesOf = () => ids.slice(0, 16).map(id => (keysOf(ranges, id) / KEY_COUNT) * ids.length);
+        for (let rounds = 0; Math.min(...sharesOf()) < 0.5; rounds++) {
+            const moves = planMoves({ ranges, targets, loads: EVEN, balance: true });
+            expect(moves.length).toBeLessThanOrEqual(2);
+            expect(rounds).toBeLessThan(32);
+            ranges = apply(ranges, moves);
+        }
+        expect(Math.max(...sharesOf())).toBeLessThan(1.2);
+    });
+});
--- a/src/process/gateway/__tests__/targetDirectory.test.ts
+++ b/src/process/gateway/__tests__/targetDirectory.test.ts
@@ -134,6 +134,35 @@
         expect([usable(), directory.get("t1")?.intake.leavingAt]).toEqual([["t1"], undefined]);
     });
 
+    it("guards against keys for targets of an evacuated domain, and against ones that stay unusable after it", () => {
+        const { clock, directory, usable } = createDirectory();
+        ["t1", "t2"].forEach(id => directory.put(entry(id, { domain: "wels" })));
+        directory.put(entry("t3"));
+        directory.beginEvacuation({ domain: "wels", since: 0, sendsUntil: 3_000 });
+        directory.put(entry("t4", { domain: "wels" }));
+        directory.put(entry("t1", { domain: "wels", slots: 7 }));
+        expect(usable()).toEqual(["t3"]);
+        expect(directory.accepting("stock")).toHaveLength(4);
+        directory.put(entry("t2", { domain: "wels", draining: true }));
+        clock.advance(4_000);
+        directory.endEvacuation("wels");
+        expect(usable()).toEqual(["t1", "t3", "t4"]);
+        expect(directory.get("t1")?.returnedAt).toBe(4_000);
+    });
+
+    it("guards against evacuated targets that are dropped at once when their entries expire in an outage", () => {
+        const { clock, directory } = createDirectory();
+        directory.put(entry("t1"));
+        directory.beginEvacuation({ domain: "linz", since: 0, sendsUntil: 3_000 });
+        directory.setOutage(true);
+        clock.advance(3_000);
+        directory.setOutage(false);
+        directory.entryGone("t1");
+        expect(directory.get("t1")).toBeDefined();
+        clock.advance(1_700);
+        expect(directory.get("t1")).toBeUndefined();
+    });
+
     it("guards against a rest that is forgotten while the entry of its start is gone", () => {
         const { clock, directory } = createDirectory();
         directory.put(entry("t1"));
--- a/src/process/gateway/__tests__/targetPlacement.test.ts
+++ b/src/process/gateway/__tests__/targetPlacement.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import type { GatewayCall } from "../../../request/gatewayCall.js";
-import type { Placement } from "../../../request/gatewayServices.js";
+import type { Placement, PlacementQuery } from "../../../request/gatewayServices.js";
 import type { Route } from "../../../version/routeConfig.js";
 import type { RouteLookup } from "../../../version/routeLookup.js";
 import { GatewayTarget } from "../gatewayTarget.js";
@@ -151,3 +151,42 @@
         expect([0, 0.5, 0.99].map(delayMs)).toEqual([1_000, 1_250, 1_495]);
     });
 });
+
+describe("TargetPlacement in an evacuation", () => {
+    const evacuation = { domain: "wels", since: 1_000, sendsUntil: 4_000 };
+
+    it("guards against requests without keys that go to an evacuated target although another one has room", () => {
+        const { targets, place } = createShared(2);
+        targets[0].listed.evacuation = evacuation;
+        targets[1].started();
+        expect(place()).toEqual({ type: "target", target: targets[1] });
+    });
+
+    it("guards against callers that are refused while only evacuated targets have room, and against later sends", () => {
+        const { clock, targets, place, load } = createShared(2);
+        targets[0].listed.evacuation = evacuation;
+        load(targets[1]);
+        expect(place()).toEqual({ type: "target", target: targets[0] });
+        clock.advance(3_000);
+        expect(place()).toMatchObject({ type: "refuse", refusal: { type: "overloaded" } });
+    });
+
+    it("guards against requests that are held or sent when every target is evacuated", () => {
+        const { clock, targets, place } = createShared(2);
+        targets.forEach(({ listed }) => (listed.evacuation = evacuation));
+        clock.advance(3_000);
+        expect(place()).toMatchObject({ type: "refuse", refusal: { type: "owner-unreachable" } });
+    });
+
+    it("guards against a key's request, or one that waited for a permit, that goes to an evacuated owner too late", () => {
+        const { owner, placement, place } = createPlacement({ isListed: true, isFresh: true });
+        owner.listed.evacuation = { domain: "wels", since: 0, sendsUntil: 1 };
+        const call = { arrivedAt: 0 } as GatewayCall;
+        expect([place().type, placement.takes(owner, call)]).toEqual(["target", true]);
+        owner.listed.evacuation = { domain: "wels", since: 0, sendsUntil: 0 };
+        expect(place()).toMatchObject({ type: "refuse", refusal: { type: "no-owner" } });
+        expect(placement.takes(owner, call)).toBe(false);
+        const query = { call, service: "stock", tried: new Set([owner]) } as unknown as PlacementQuery;
+        expect(placement.canPlaceAgain(query, "lost")).toBe(false);
+    });
+});
--- a/src/process/gateway/decideIntake.ts
+++ b/src/process/gateway/decideIntake.ts
@@ -1,3 +1,4 @@
+import type { Evacuation } from "./evacuations.js";
 import type { StatedRest } from "./targetIntake.js";
 
 /**
@@ -18,6 +19,8 @@
     /** Time for which a leaving target may get requests, in milliseconds. */
     drainMs: number;
     rest: StatedRest | undefined;
+    /** The evacuation of its failure domain, while one is in force. */
+    evacuation?: Pick<Evacuation, "sendsUntil">;
     /** Requests of this instance that are in flight at the target. */
     inFlight: number;
 }
@@ -25,20 +28,27 @@
 /** Whether a target takes a request from this instance. */
 export type Intake =
     | { type: "open" }
-    /** It leaves, so it is used only for requests that no other target serves. */
+    /** It leaves or is being evacuated, so it is used only for requests that no other target serves. */
     | { type: "last-choice" }
     | { type: "leaving" }
+    /** Its failure domain is evacuated, and the time for its last requests has passed. */
+    | { type: "evacuated" }
     /** It has stated a rest, which lasts for so many milliseconds. */
     | { type: "resting"; forMs: number };
 
 /**
- * Decides whether a target takes a request, by what it has stated. After a rest that was stated longer than a rest may be, the
+ * Decides whether a target takes a request, by what it has stated and by the evacuation of its failure domain. The requests of a
+ * leaving target are counted by their arrival, as its drain time is for them. An evacuation ends all sends at one time. After a rest that was stated longer than a rest may be, the
  * target gets one request at a time until it answers one without a rest.
  *
  * @example
  * decideIntake({ now: 900, arrivedAt: 900, leavingAt: 100, drainMs: 2_000, rest: undefined, inFlight: 0 }); // last-choice
  */
-export const decideIntake = ({ now, arrivedAt, leavingAt, drainMs, rest, inFlight }: IntakeInput): Intake => {
+export const decideIntake = (input: IntakeInput): Intake => {
+    const { now, arrivedAt, leavingAt, drainMs, rest, evacuation, inFlight } = input;
+    if (evacuation !== undefined && now >= evacuation.sendsUntil) {
+        return { type: "evacuated" };
+    }
     if (leavingAt !== undefined && arrivedAt - leavingAt >= drainMs * DRAIN_SHARE) {
         return { type: "leaving" };
     }
@@ -48,5 +58,5 @@
     if (rest !== undefined && now < rest.statedUntil && inFlight > 0) {
         return { type: "resting", forMs: Math.min(TRIAL_PAUSE_MS, rest.statedUntil - now) };
     }
-    return { type: leavingAt === undefined ? "open" : "last-choice" };
+    return { type: leavingAt === undefined && evacuation === undefined ? "open" : "last-choice" };
 };
--- a/src/process/gateway/forwardingPeer.ts
+++ b/src/process/gateway/forwardingPeer.ts
@@ -92,9 +92,14 @@
 
     /**
      * Sends a request to the peer. If the peer states that it has sent nothing of it, the answer fails with `not-forwarded`, also
-     * after `sent` was called.
+     * after `sent` was called. `maySend` is consulted when the connection is established.
      */
-    send(request: ForwardableRequest, fields: ForwardFields, answer: TargetAnswer): SentRequest {
+    send(
+        request: ForwardableRequest,
+        fields: ForwardFields,
+        answer: TargetAnswer,
+        maySend?: () => boolean,
+    ): SentRequest {
         const underWay = { since: this.clock.monotonicMs() };
         this.running.add(underWay);
         let refused: { chunks: Buffer[]; bytes: number; retryAfterSeconds: number | undefined } | undefined;
@@ -156,7 +161,7 @@
                     answer.failed(failure);
                 },
             },
-            { fresh: false, maxIdleMs: MAX_IDLE_MS },
+            { fresh: false, maxIdleMs: MAX_IDLE_MS, maySend },
         );
         return sent;
     }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { ConfigKeeper } from "./configKeeper.js";
 import { createRetryBudget } from "./createRetryBudget.js";
 import { CRASH_TABLE, CrashSuspects } from "./crashSuspects.js";
+import { Evacuations } from "./evacuations.js";
 import { GatewayMetrics, type GatewayState } from "./gatewayMetrics.js";
 import { endWithProcess } from "./endWithProcess.js";
 import { GatewayPaths } from "./gatewayPaths.js";
@@ -129,6 +130,7 @@
 export class Gateway {
     private readonly config: ConfigKeeper;
     private readonly targets: GatewayTargets;
+    private readonly evacuations: Evacuations;
     private readonly owners: KeyOwners;
     private readonly peers: PeerPort;
     private readonly load: SharedLoad;
@@ -189,6 +191,14 @@
             checkInMs: options.checkInMs,
             graceMs: options.graceMs,
         });
+        this.evacuations = new Evacuations({
+            clock,
+            logger: loggers("membership"),
+            evacuateMs: options.evacuateMs,
+            decode: platform.decodeEvacuation,
+            began: evacuation => this.targets.directory.beginEvacuation(evacuation),
+            ended: evacuated => this.targets.directory.endEvacuation(evacuated),
+        });
         this.owners = new KeyOwners({ clock, logger: loggers("ownership") });
         this.peers = new PeerPort({ address: options.peers, logger: loggers("peers") });
         this.relay = new StoreRelay({
@@ -261,8 +271,18 @@
             table: tables.config,
             ...OPERATOR_ROWS,
             pauseMs: () => 0,
-            replaced: rows => rows.forEach(row => this.configChanged(row)),
-            changed: row => this.configChanged(row),
+            replaced: rows => {
+                this.evacuations.listed(rows);
+                rows.forEach(row => this.configChanged(row));
+            },
+            restored: rows => {
+                this.evacuations.restored(rows);
+                rows.forEach(row => this.configChanged(row));
+            },
+            changed: row => {
+                this.evacuations.rowChanged(row);
+                this.configChanged(row);
+            },
         });
         this.targetsFollower = this.follow({
             table: tables.targets,
@@ -651,6 +671,8 @@
                 service,
                 owners: failing.length,
             })),
+            evacuatedDomains: this.evacuations.all().map(({ domain }) => domain),
+            evacuatedKeys: this.assigners.evacuatedKeys(),
             targets: [...this.targets.all()].map(target => ({
                 service: target.listed.entry.service,
                 target: target.id,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -2,6 +2,7 @@
 import type { Refusal } from "../../request/refusal.js";
 import { countRefusal } from "../observability/countRefusal.js";
 import type { Clock } from "../runtime/clock.js";
+import type { EvacuatedKeys } from "./evacuationProgress.js";
 import type { CounterCell, Metrics, SummaryCell } from "../observability/metrics.js";
 
 /** State of a gateway that is read when its metrics are collected. */
@@ -19,6 +20,9 @@
     isCutOff: boolean;
     /** Owners that didn't take their last grant, by service, as far as this instance assigns keys. */
     ownersWithoutGrant: Iterable<{ service: string; owners: number }>;
+    evacuatedDomains: Iterable<string>;
+    /** Keys whose owners are in evacuated failure domains, as far as this instance assigns keys. */
+    evacuatedKeys: Iterable<EvacuatedKeys>;
     targets: Iterable<{
         service: string;
         target: string;
@@ -56,6 +60,9 @@
     private readonly cells = new Map<string, ServiceCells>();
     /** Targets that have stated a limit. */
     private readonly limited = new Set<string>();
+    /** Failure domains that were evacuated, and those of each service from which keys were moved. */
+    private readonly evacuated = new Set<string>();
+    private readonly evacuatedKeys = new Map<string, Pick<EvacuatedKeys, "service" | "domain">>();
     /** Services whose keys this instance has assigned. */
     private readonly assigned = new Set<string>();
 
@@ -124,6 +131,7 @@
         for (const service of this.assigned) {
             this.metrics.gauge("owners_without_grant", { service }).set(failing.get(service) ?? 0);
         }
+        this.collectEvacuations(state);
         const cutPaths = new Map<string, number>();
         for (const { service, target, inFlight, limit, isCut } of targets) {
             cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
@@ -140,6 +148,20 @@
         this.metrics.gauge("control_memory_bytes", {}).set(process.memoryUsage.rss());
     }
 
+    private collectEvacuations({ evacuatedDomains, evacuatedKeys }: GatewayState): void {
+        const domains = new Set(evacuatedDomains);
+        domains.forEach(domain => this.evacuated.add(domain));
+        for (const domain of this.evacuated) {
+            this.metrics.gauge("evacuated_domains", { domain }).set(domains.has(domain) ? 1 : 0);
+        }
+        const nameOf = ({ service, domain }: Pick<EvacuatedKeys, "service" | "domain">) => `${service} ${domain}`;
+        const owned = new Map([...evacuatedKeys].map(state => [nameOf(state), state]));
+        owned.forEach(({ service, domain }, name) => this.evacuatedKeys.set(name, { service, domain }));
+        this.evacuatedKeys.forEach((labels, name) =>
+            this.metrics.gauge("evacuated_domain_keys", labels).set(owned.get(name)?.keys ?? 0),
+        );
+    }
+
     private cellsOf(service: string): ServiceCells {
         const known = this.cells.get(service);
         if (known !== undefined) {
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -25,7 +25,7 @@
 const MIN_SUSPICION_MS = 400;
 const MAX_SUSPICION_MS = 3_000;
 
-/** Intake of a target that has stated neither that it leaves nor a rest. */
+/** Intake of a target that has stated neither that it leaves nor a rest, and isn't evacuated. */
 const OPEN: Intake = { type: "open" };
 /** Ratio of load to slots that is assumed of a target whose limit refuses callers. */
 const EXCEEDED_PRESSURE = 1;
@@ -90,12 +90,19 @@
      * leaving target may get requests, in milliseconds.
      */
     intakeFor(arrivedAt: number, drainMs: number): Intake {
-        const { leavingAt, rest } = this.listed.intake;
-        if (leavingAt === undefined && rest === undefined) {
+        const { intake, evacuation } = this.listed;
+        const { leavingAt, rest } = intake;
+        if (leavingAt === undefined && rest === undefined && evacuation === undefined) {
             return OPEN;
         }
         const now = this.clock.monotonicMs();
-        return decideIntake({ now, arrivedAt, leavingAt, drainMs, rest, inFlight: this.inFlight });
+        return decideIntake({ now, arrivedAt, leavingAt, drainMs, rest, evacuation, inFlight: this.inFlight });
+    }
+
+    /** Time in milliseconds for which it may get requests before its evacuation ends them; `undefined` if it isn't evacuated. */
+    sendsForMs(): number | undefined {
+        const { evacuation } = this.listed;
+        return evacuation && Math.max(0, evacuation.sendsUntil - this.clock.monotonicMs());
     }
 
     started(): void {
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -3,6 +3,9 @@
 import type { Logger } from "../observability/logger.js";
 import type { LeaseProof } from "./assignerLease.js";
 import { eraOfToken, nextToken } from "./fencingTokens.js";
+import { chooseOtherReceiver } from "./chooseOtherReceiver.js";
+import { EvacuationProgress, type EvacuatedKeys } from "./evacuationProgress.js";
+import type { Evacuation } from "./evacuations.js";
 import { DEFAULT_HOLD_MS, GRANT_TIMEOUT_MS, GrantRecord } from "./grantRecord.js";
 import { hasSettled } from "./hasSettled.js";
 import {
@@ -23,7 +26,7 @@
 import { ownerName, processName } from "./processName.js";
 import type { RowStore } from "./rowStore.js";
 import { SeenTokens } from "./seenTokens.js";
-import type { DirectoryTarget } from "./targetDirectory.js";
+import { isStaying, type DirectoryTarget } from "./targetDirectory.js";
 import { unlistedOwner } from "./unlistedOwner.js";
 
 /** Table of the assignments, which all instances follow. */
@@ -44,6 +47,11 @@
 const RETURN_MS = 300;
 /** Minimum time between moves for balance, in milliseconds; the loads take time to reflect the previous moves. */
 const BALANCE_PERIOD_MS = 600;
+/**
+ * Time after the end of an evacuation in which keys return to the targets of its domain in few moves at a time, in milliseconds. A
+ * third of 215 targets takes 144 moves, for which 10 s suffice at `MAX_RETURN_MOVES_SHARE`.
+ */
+const RETURN_FROM_EVACUATION_MS = 30_000;
 /** Time after the start without moves for balance, in milliseconds, because the loads aren't known yet. */
 const BALANCE_DELAY_MS = 2_000;
 
@@ -77,6 +85,10 @@
     failing: DirectoryTarget[];
 }
 
+/** Whether a target may be granted keys that are recorded for it. In an evacuated domain it hands them over after that. */
+const mayBeGranted = (listed: DirectoryTarget): boolean =>
+    listed.usable || (listed.evacuation !== undefined && isStaying(listed));
+
 interface QueuedChange {
     /** Changes the ranges; `fence` is the fencing token of the transaction. */
     apply: (ranges: KeyRange[], fence: number) => KeyRange[];
@@ -111,6 +123,7 @@
     private readonly queue: QueuedChange[] = [];
     private readonly grantsUnderWay = new Set<Promise<GrantReply>>();
     private isCommitting = false;
+    private readonly evacuation: EvacuationProgress;
     private readonly disposables = new DisposableStore();
     private disposed = false;
     private readonly startedAt: number;
@@ -143,6 +156,8 @@
              * its slots.
              */
             measure: (target: DirectoryTarget) => { capacity: number; pressure: number };
+            /** The evacuation of a failure domain, while one is in force. */
+            evacuation?: (domain: string) => Evacuation | undefined;
             /** Load of each key. */
             weights: () => ArrayLike<number>;
             /** Called when a target states in an answer that it leaves. */
@@ -155,6 +170,10 @@
         },
     ) {
         this.assignment = emptyAssignment(options.service);
+        this.evacuation = new EvacuationProgress({
+            ...options,
+            evacuation: domain => options.evacuation?.(domain),
+        });
         this.startedAt = options.clock.monotonicMs();
         this.balancedAt = this.startedAt + BALANCE_DELAY_MS;
     }
@@ -191,6 +210,11 @@
         };
     }
 
+    /** Keys whose owners are in evacuated failure domains. */
+    evacuatedKeys(): EvacuatedKeys[] {
+        return this.evacuation.keys();
+    }
+
     /** Resolves when all grants in progress have been answered or have timed out. */
     async settled(): Promise<void> {
         await Promise.all(this.grantsUnderWay);
@@ -496,6 +520,7 @@
             return;
         }
         const owners = this.owners();
+        this.evacuation.update([...owners].map(([{ listed }, ranges]) => [listed, ranges]));
         const targets = [...this.tracked.values()].map(tracked => this.plannedTarget(tracked, owners, now));
         const moves = planMoves({
             ranges: this.rangesAfterMoves(),
@@ -546,6 +571,21 @@
         );
     }
 
+    /** The target that gets keys whose release was begun for another one; see `chooseOtherReceiver`. */
+    private receiverInsteadOf(receiver: TrackedTarget): TrackedTarget {
+        if (receiver.listed.evacuation === undefined) {
+            return receiver;
+        }
+        const now = this.options.clock.monotonicMs();
+        const owners = this.owners();
+        const targets = [...this.tracked.values()].map(tracked => this.plannedTarget(tracked, owners, now));
+        const chosen = chooseOtherReceiver(
+            targets.filter(target => target !== undefined),
+            [...this.assignment.ranges, ...this.moving],
+        );
+        return chosen === undefined ? receiver : (this.receiverOf(chosen) ?? receiver);
+    }
+
     private plannedTarget(
         tracked: TrackedTarget,
         owners: ReadonlyMap<TrackedTarget, unknown>,
@@ -568,6 +608,7 @@
             canReceive: (isListed && usable && isReached && !this.isClaiming(tracked, now)) || waitsForReturn,
             canRelease: usable && now - tracked.grants.answeredAt() < 2 * RENEWAL_MS,
             isFailing: tracked.grants.isFailing(),
+            isReturning: now - (tracked.listed.returnedAt ?? -Infinity) < RETURN_FROM_EVACUATION_MS,
         };
     }
 
@@ -604,7 +645,7 @@
 
     private async move(move: KeyMove): Promise<void> {
         const { clock, lease, logger, service } = this.options;
-        const receiver = this.receiverOf(move.target);
+        let receiver = this.receiverOf(move.target);
         if (receiver === undefined) {
             return;
         }
@@ -628,6 +669,8 @@
                 });
                 return;
             }
+            receiver = this.receiverInsteadOf(receiver);
+            move.target = receiver.listed.entry.id;
             const { id, startedAtMs, address } = receiver.listed.entry;
             const range = { from, to, target: id, startedAtMs, address, handover: reclaimed.handover };
             const fence = await this.commitOwner(range);
@@ -885,7 +928,7 @@
      */
     private async grantUntilAnswered(receiver: TrackedTarget, range: KeyRange): Promise<boolean> {
         const { clock, lease } = this.options;
-        while (!this.disposed && !receiver.ended && lease.isHeld() && receiver.listed.usable) {
+        while (!this.disposed && !receiver.ended && lease.isHeld() && mayBeGranted(receiver.listed)) {
             if (await this.grant(receiver, range)) {
                 return true;
             }
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { Clock } from "../runtime/clock.js";
 import { AssignerLease, type LeaseSuccessor } from "./assignerLease.js";
+import type { EvacuatedKeys } from "./evacuationProgress.js";
 import type { GatewayTargets } from "./gatewayTargets.js";
 import { DEFAULT_HOLD_MS } from "./grantRecord.js";
 import { KeyAssigner, type OwnerGrants } from "./keyAssigner.js";
@@ -104,6 +105,11 @@
         return new Map([...this.assigners].map(([service, assigner]) => [service, assigner.ownerGrants()]));
     }
 
+    /** Keys whose owners are in evacuated failure domains, as far as this instance assigns them. */
+    evacuatedKeys(): EvacuatedKeys[] {
+        return [...this.assigners.values()].flatMap(assigner => assigner.evacuatedKeys());
+    }
+
     /** Releases the lease once all calls made under it have ended. */
     async release(): Promise<void> {
         await this.lease.release(() => this.settled());
@@ -136,6 +142,7 @@
             allTargets: () => targets.directory.all(),
             measure: listed => targets.view(listed).measure(admitter.limitOf(listed.entry)),
             weights: () => load.weights(service),
+            evacuation: domain => targets.directory.evacuationOf(domain),
             leavingStated,
             addressLost: listed => this.addressLost(listed),
             grantEnded: reply => this.options.grantEnded?.(service, reply),
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -20,6 +20,8 @@
      * them; without keys it is assigned one, whose grant shows whether it can be reached again.
      */
     isFailing?: boolean;
+    /** Whether the evacuation of its failure domain has ended not long ago. It gets keys for balance in few moves at a time. */
+    isReturning?: boolean;
 }
 
 /** Planned change of the owner of keys. `source` is `undefined` for keys without an owner. */
@@ -54,6 +56,12 @@
  */
 const BALANCE_MOVES_SHARE = 1 / 3;
 const MIN_BALANCE_MOVES = 6;
+/**
+ * Maximum number of moves at a time to targets whose evacuation has ended, as a share of the number of targets, and a minimum. All
+ * targets of a failure domain return at once, and each key is without an owner for a moment while it moves.
+ */
+const MAX_RETURN_MOVES_SHARE = 1 / 24;
+const MIN_RETURN_MOVES = 2;
 /** Minimum load of a move for balance, as a share of the receiver's fair share; less isn't worth the wait. */
 const MIN_MOVED_SHARE = 0.09;
 
@@ -181,6 +189,8 @@
 /** Assigns new targets a share of the keys of the targets with the highest load. */
 const fillNew = (holdings: readonly Holding[], loads: KeyLoads, maxMoves: number): KeyMove[] => {
     const moves: KeyMove[] = [];
+    const receivers = holdings.filter(({ target }) => target.canReceive).length;
+    let returnMoves = Math.max(MIN_RETURN_MOVES, Math.ceil(receivers * MAX_RETURN_MOVES_SHARE));
     const sources = byRelativeLoad(
         holdings.filter(({ target, load, fairLoad }) => target.canRelease && load > fairLoad * FILL_RATIO),
     );
@@ -189,7 +199,8 @@
         if (!canGain(holding) || holding.load >= fairLoad * IDLE_RATIO) {
             continue;
         }
-        while (holding.load < fairLoad * FILL_RATIO && moves.length < maxMoves) {
+        const isReturning = holding.target.isReturning === true;
+        while (holding.load < fairLoad * FILL_RATIO && moves.length < maxMoves && (!isReturning || returnMoves-- > 0)) {
             const source = sources.shift();
             if (source === undefined) {
                 return moves;
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -1,6 +1,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
+import type { Evacuation } from "./evacuations.js";
 import type { TargetEntry } from "./targetEntry.js";
 import { TargetIntake } from "./targetIntake.js";
 
@@ -8,7 +9,7 @@
  * Time after a store outage in which entries that expired meanwhile may be registered again, in milliseconds. It is below
  * the time within which a target that has left must be out of use.
  */
-const RETURN_GRACE_MS = 1_700;
+export const RETURN_GRACE_MS = 1_700;
 /**
  * Number of check-in intervals after which an entry of a copy shows that its target lives: a silent one loses its entry after
  * three, and the removal takes time to be read.
@@ -30,6 +31,10 @@
     seenAt: number;
     /** What its answers have stated; kept for its start, also while it has no entry. */
     intake: TargetIntake;
+    /** The evacuation of its failure domain, while one is in force. */
+    evacuation?: Evacuation;
+    /** Monotonic time in milliseconds at which the last evacuation of its failure domain ended. */
+    returnedAt?: number;
 }
 
 /** What is remembered of a start that has departed. */
@@ -56,10 +61,21 @@
  */
 export const isAccepting = ({ entry, gone }: DirectoryTarget): boolean => !entry.draining && !gone;
 
+/**
+ * Whether neither a target's entry nor its answers say that it leaves. One whose failure domain is evacuated stays as well.
+ *
+ * @example
+ * isStaying({ ...target, usable: false, evacuation }); // true
+ */
+export const isStaying = (target: DirectoryTarget): boolean =>
+    isAccepting(target) && target.intake.leavingAt === undefined;
+
 /**
  * The registered targets by their identifiers. A process that was draining stays so. A target that has stated that it leaves
  * stays so for that start. Entries may have the same address; only an answer from there shows which of their targets has it.
  *
+ * The targets of an evacuated failure domain aren't usable until the evacuation ends. They are known as before otherwise.
+ *
  * The store may be restored from a copy, whose entries are older than what was read before. An entry of the copy doesn't bring
  * back a target that has departed, nor an earlier start of a target; one that is written or still there after the restore
  * does. A target whose entry the copy lacks stays usable for the time in which targets register again.
@@ -79,6 +95,7 @@
     /** Entries of a copy that don't count yet, by identifier. */
     private doubted = new Map<string, TargetEntry>();
     private cancelDoubt: TimerCancellation = () => undefined;
+    private readonly evacuations = new Map<string, Evacuation>();
     private outageEndedAt = -Infinity;
     private outage = false;
 
@@ -123,6 +140,42 @@
         return true;
     }
 
+    /** Makes the targets of a failure domain unusable while it is evacuated. */
+    beginEvacuation(evacuation: Evacuation): void {
+        this.evacuations.set(evacuation.domain, evacuation);
+        this.updateEvacuated(evacuation.domain);
+    }
+
+    /** Makes the targets of a failure domain usable again, except those that leave. */
+    endEvacuation(domain: string): void {
+        this.evacuations.delete(domain);
+        const now = this.options.clock.monotonicMs();
+        this.updateEvacuated(domain).forEach(target => (target.returnedAt = now));
+    }
+
+    /** The evacuation of a failure domain, while one is in force. */
+    evacuationOf(domain: string): Evacuation | undefined {
+        return this.evacuations.get(domain);
+    }
+
+    /** Applies the begin or end of an evacuation, and returns the targets of the failure domain. */
+    private updateEvacuated(domain: string): DirectoryTarget[] {
+        const targets = [...this.all()].filter(({ entry }) => entry.domain === domain);
+        for (const target of targets) {
+            const wasUsable = target.usable;
+            this.updateUsable(target);
+            if (wasUsable !== target.usable) {
+                this.options.onChange(target);
+            }
+        }
+        return targets;
+    }
+
+    private updateUsable(target: DirectoryTarget): void {
+        target.evacuation = this.evacuations.get(target.entry.domain);
+        target.usable = isStaying(target) && target.evacuation === undefined;
+    }
+
     /** Ends a target at whose address another one has answered. Only another start of it counts again. */
     addressLost(target: DirectoryTarget): void {
         if (!target.gone) {
@@ -207,7 +260,7 @@
         const target = this.targets.get(entry.id) ?? this.add(entry, intake);
         const wasUsable = target.usable;
         target.entry = entry;
-        target.usable = isAccepting(target) && target.intake.leavingAt === undefined;
+        this.updateUsable(target);
         this.missing.delete(target);
         this.updateClaims(target);
         if (known === undefined || wasUsable !== target.usable) {
@@ -236,7 +289,7 @@
             return;
         }
         const graceMs = this.graceMs();
-        if (target.usable && (this.outage || graceMs > 0)) {
+        if (isStaying(target) && (this.outage || graceMs > 0)) {
             this.missing.add(target);
             // The entry may have been removed after the outage, and the target must then be out of use in time.
             this.removeAfter(target, this.outage ? RETURN_GRACE_MS : graceMs);
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -127,8 +127,10 @@
                 this.refusal("owner-unreachable", `Owner ${owner.id} can't be reached.`, NO_OWNER_PAUSE_S),
             );
         }
-        if (this.intakeOf(owner, query.call).type === "leaving") {
-            return this.waitIfStale(this.refusal("no-owner", `Owner ${owner.id} leaves.`, NO_OWNER_PAUSE_S));
+        const { type } = this.intakeOf(owner, query.call);
+        if (type === "leaving" || type === "evacuated") {
+            const text = type === "leaving" ? `Owner ${owner.id} leaves.` : `Owner ${owner.id} is evacuated.`;
+            return this.waitIfStale(this.refusal("no-owner", text, NO_OWNER_PAUSE_S));
         }
         return this.refuseBySoonest([owner], query) ?? this.admitOrRefuse(owner, query);
     }
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -93,6 +93,16 @@
         help: "Owners of keys that didn't take their last grant, on the instance that assigns keys.",
         labels: ["service"],
     },
+    evacuated_domains: {
+        type: "gauge",
+        help: "1 while this instance knows that the failure domain is evacuated by a row of the store, 0 once it has ended.",
+        labels: ["domain"],
+    },
+    evacuated_domain_keys: {
+        type: "gauge",
+        help: "Keys that targets in an evacuated failure domain still own, on the instance that assigns keys.",
+        labels: ["service", "domain"],
+    },
     stalls_total: { type: "counter", help: "Times that the event loop of a gateway stalled.", labels: [] },
     request_seconds: {
         type: "summary",
--- a/src/request/forwardFields.ts
+++ b/src/request/forwardFields.ts
@@ -28,6 +28,8 @@
     isIdempotent: z.boolean(),
     /** Whether the stated limit of the target has admitted it. */
     isAdmitted: z.boolean(),
+    /** Time in which it may be sent to its target, in milliseconds; missing if the target isn't evacuated. */
+    sendWithinMs: z.number().min(0).optional(),
 });
 /** What an instance decides about a request that it forwards. */
 export type ForwardFields = z.infer<typeof forwardFieldsSchema>;
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -138,6 +138,11 @@
         return refuse("overloaded", `All connections to target ${id} are in use.`, BUSY_PAUSE_S);
     }
 
+    /** Not `no-owner`, which would have the other instance take the target for one that may have ended. */
+    private refusalOfEvacuated({ id }: GatewayTarget): Refusal {
+        return refuse("overloaded", `Target ${id} is evacuated.`, BUSY_PAUSE_S * (0.7 + 0.6 * Math.random()));
+    }
+
     /** Sends the request to its target, if the target has no limit or its limit admits the request. */
     private sendIfAdmitted(target: GatewayTarget): void {
         const { limit } = target;
@@ -193,6 +198,9 @@
         }
         const arrivedAt = this.call.arrivedAt - this.fields.ageMs;
         const intake = target.intakeFor(arrivedAt, this.services.drainMs);
+        if (intake.type === "evacuated" || !this.maySend(target)) {
+            return this.refusalOfEvacuated(target);
+        }
         if (intake.type === "leaving") {
             return refuse("no-owner", `Target ${id} leaves.`, BUSY_PAUSE_S);
         }
@@ -202,6 +210,12 @@
         return undefined;
     }
 
+    /** Whether an evacuation of the target, known here or at the instance that forwards the request, lets it be sent. */
+    private maySend(target: GatewayTarget): boolean {
+        const elapsedMs = this.services.clock.monotonicMs() - this.call.arrivedAt;
+        return target.sendsForMs() !== 0 && elapsedMs < (this.fields.sendWithinMs ?? Infinity);
+    }
+
     /** Milliseconds that are left of the time that the forwarding instance allows. */
     private leftMs(): number {
         const { arrivedAt, deadlineMs = 0 } = this.call;
@@ -257,7 +271,7 @@
                 end: () => this.completed(target),
                 failed: failure => this.failed(target, failure),
             },
-            { fresh: false, maxIdleMs: maxIdleMs(fields.isIdempotent) },
+            { fresh: false, maxIdleMs: maxIdleMs(fields.isIdempotent), maySend: () => this.maySend(target) },
         );
         const limitMs = this.leftMs() + (fields.isIdempotent ? 0 : RUN_OUT_MS);
         this.dispose.push(
@@ -305,6 +319,10 @@
             return;
         }
         if (this.sentAt === undefined) {
+            if (failure.type === "withheld") {
+                this.refuse(this.refusalOfEvacuated(target));
+                return;
+            }
             if (failure.type !== "connection-limit") {
                 this.services.connectionFailed(target, failure);
             }
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -486,17 +486,24 @@
             },
         };
         const { isIdempotent } = this;
+        const maySend = () => target.sendsForMs() !== 0;
         attempt.sent =
             peer === undefined
-                ? target.connections.send(request, answer, { fresh: false, maxIdleMs: maxIdleMs(isIdempotent) })
-                : peer.send(request, this.forwardFields(target), answer);
+                ? target.connections.send(request, answer, {
+                      ...{ fresh: false, maxIdleMs: maxIdleMs(isIdempotent), maySend },
+                  })
+                : peer.send(request, this.forwardFields(target), answer, maySend);
         if (isIdempotent) {
             this.watchSilence(attempt);
         }
     }
 
     /** What the instance through which the request is sent has to know. */
-    private forwardFields({ listed: { entry }, limit }: GatewayTarget): ForwardFields {
+    private forwardFields(target: GatewayTarget): ForwardFields {
+        const {
+            listed: { entry },
+            limit,
+        } = target;
         return {
             target: entry.id,
             startedAtMs: entry.startedAtMs,
@@ -505,6 +512,7 @@
             targetLatencyMs: this.route.targetLatencyMs,
             isIdempotent: this.isIdempotent,
             isAdmitted: limit !== undefined,
+            sendWithinMs: target.sendsForMs(),
         };
     }
 
@@ -699,7 +707,7 @@
     private attemptFailed(attempt: Attempt, failure: TargetFailure): void {
         const { target } = attempt;
         attempt.record.end = `${failure.type}: ${failure.detail}`;
-        if (attempt.peer !== undefined) {
+        if (attempt.peer !== undefined && failure.type !== "withheld") {
             this.forwardingFailed(attempt, attempt.peer, failure);
             return;
         }
@@ -717,6 +725,12 @@
     /** Handles an attempt of which nothing was sent on the direct path. */
     private notReached(attempt: Attempt, failure: TargetFailure): void {
         const { target } = attempt;
+        if (failure.type === "withheld") {
+            // It is placed anew, since its key may have another owner or another target may take it.
+            this.lastRefusal = refuse("no-owner", `Target ${target.id} is evacuated.`, this.pauseSeconds());
+            this.next(attempt, "not-sent");
+            return;
+        }
         if (failure.type !== "connection-limit") {
             this.services.connectionFailed(target, failure);
         }
--- a/test/support/ownedService.ts
+++ b/test/support/ownedService.ts
@@ -1,4 +1,5 @@
 import { err, type Result } from "neverthrow";
+import { Evacuations } from "../../src/process/gateway/evacuations.js";
 import { GatewayTargets } from "../../src/process/gateway/gatewayTargets.js";
 import { KeyAssigners } from "../../src/process/gateway/keyAssigners.js";
 import { KEY_COUNT } from "../../src/process/gateway/keyMap.js";
@@ -23,6 +24,11 @@
 /** Interval at which targets check in, in milliseconds; after three of them without one an entry is removed. */
 const CHECK_IN_MS = 1_000;
 const EXPIRY_MS = 3 * CHECK_IN_MS;
+/** Prefix of the rows that ask to evacuate a domain, and the time for it in milliseconds. */
+const EVACUATION_PREFIX = "evacuate/";
+export const EVACUATE_MS = 5_000;
+/** Maximum time after which an evacuation's row is read by an instance that reaches the store, in milliseconds. */
+const ROW_DELAY_MS = 100;
 const NEVER: PlatformError = { type: "platform-unknown", detail: "no answer in time" };
 
 /** How calls of one instance to the store fare. */
@@ -45,6 +51,7 @@
     store: StoreLink;
     targets: GatewayTargets;
     assigners: KeyAssigners;
+    evacuations: Evacuations;
     /** Maximum time after which a changed entry is read, in milliseconds. */
     entryDelayMs: number;
     /** Number of the last change that was read of each entry. */
@@ -60,6 +67,7 @@
 /** What a target's process does at the store. */
 interface Registration {
     process: TargetProcess;
+    domain: string;
     draining: boolean;
     /** Whether its calls reach the store. */
     isCut: boolean;
@@ -86,7 +94,14 @@
     /** Applies to the calls of all instances and targets. */
     readonly storeFaults: StoreLink = { isCut: false, delayMs: 0, lossShare: 0, lateShare: 0, isRejected: false };
     weights = new Float64Array(KEY_COUNT).fill(1);
-    private readonly copies: { copy: number; entries: Map<string, TargetEntry>; at: number }[] = [];
+    private readonly copies: {
+        copy: number;
+        entries: Map<string, TargetEntry>;
+        evacuated: Set<string>;
+        at: number;
+    }[] = [];
+    /** Failure domains for which the store has the row of an evacuation. */
+    private evacuated = new Set<string>();
     private entries = new Map<string, TargetEntry>();
     private readonly checkedInAt = new Map<string, number>();
     private lastChange = 0;
@@ -127,6 +142,14 @@
             checkInMs: CHECK_IN_MS,
             graceMs: 1_000,
         });
+        const evacuations = new Evacuations({
+            clock,
+            logger,
+            evacuateMs: EVACUATE_MS,
+            decode: key => key.slice(EVACUATION_PREFIX.length),
+            began: evacuation => targets.directory.beginEvacuation(evacuation),
+            ended: domain => targets.directory.endEvacuation(domain),
+        });
         const assigners = new KeyAssigners({
             instance: name,
             peerAddress: undefined,
@@ -140,7 +163,10 @@
             admitter: new LimitAdmitter(clock),
             maxHoldMs: 10_000,
         });
-        const instance = { name, clock, link, store, targets, assigners, entryDelayMs: 30, read: new Map() };
+        const instance = {
+            ...{ name, clock, link, store, targets, assigners, evacuations },
+            ...{ entryDelayMs: 30, read: new Map() },
+        };
         this.instances.push(instance);
         assigners.update([{ name: KEYED_SERVICE, keyed: true, connectionLimit: 100 }]);
         assigners.start();
@@ -168,12 +194,12 @@
         this.clock.setTimer(6_000, end);
     }
 
-    startTarget(id: string, address: string, service = KEYED_SERVICE): TargetProcess {
+    startTarget(id: string, address: string, service = KEYED_SERVICE, domain = "linz"): TargetProcess {
         const startedAtMs = Math.floor(this.clock.wallMs());
         const clockRate = 1 - 0.02 * this.random();
         const process = this.targets.start({ id, service, address, startedAtMs, clockRate });
         this.note(`${id} starts at ${address}, start ${startedAtMs % 1_000_000}`);
-        this.registrations.set(id, { process, draining: false, isCut: false, hasLeft: false });
+        this.registrations.set(id, { process, domain, draining: false, isCut: false, hasLeft: false });
         return process;
     }
 
@@ -193,10 +219,36 @@
         }
     }
 
+    /** Writes or removes the row that asks to evacuate a failure domain. */
+    setEvacuated(domain: string, isEvacuated: boolean): void {
+        this.note(isEvacuated ? `${domain} is to be evacuated` : `the evacuation of ${domain} is to end`);
+        if (isEvacuated) {
+            this.evacuated.add(domain);
+        } else {
+            this.evacuated.delete(domain);
+        }
+        const key = `${EVACUATION_PREFIX}${domain}`;
+        const { era } = this;
+        for (const instance of this.instances) {
+            this.clock.setTimer(1 + this.random() * ROW_DELAY_MS, () => {
+                if (
+                    this.reachesStore(instance) &&
+                    !instance.store.isRejected &&
+                    this.era === era &&
+                    this.evacuated.has(domain) === isEvacuated
+                ) {
+                    const value = isEvacuated ? Buffer.alloc(0) : undefined;
+                    instance.clock.deliver(() => instance.evacuations.rowChanged({ key, value, version: 0 }));
+                }
+            });
+        }
+    }
+
     /** Keeps a copy of the store for 15 s. */
     copy(): void {
         const at = this.clock.monotonicMs();
-        this.copies.push({ copy: this.store.copy(), entries: new Map(this.entries), at });
+        const evacuated = new Set(this.evacuated);
+        this.copies.push({ copy: this.store.copy(), entries: new Map(this.entries), evacuated, at });
         while (at - this.copies[0].at > 15_000) {
             this.copies.shift();
         }
@@ -209,6 +261,7 @@
         this.note(`the store goes back by ${Math.round(now - chosen.at)} ms`);
         this.store.restore(chosen.copy);
         this.entries = new Map(chosen.entries);
+        this.evacuated = new Set(chosen.evacuated);
         this.lastChange++;
         this.entries.forEach((_, id) => this.checkedInAt.set(id, now));
         const era = ++this.era;
@@ -293,7 +346,7 @@
         if (this.storeFaults.isCut) {
             return;
         }
-        for (const [id, { process, draining, isCut, hasLeft }] of this.registrations) {
+        for (const [id, { process, domain, draining, isCut, hasLeft }] of this.registrations) {
             const isDue = now - (this.checkedInAt.get(id) ?? -Infinity) >= CHECK_IN_MS * (0.7 + 0.3 * this.random());
             const written = this.entries.get(id);
             if (!process.isUp || process.isFrozen || isCut) {
@@ -313,7 +366,7 @@
                     written.address !== address ||
                     written.draining !== draining
                 ) {
-                    const placed = { domain: "linz", slots: 6, warmupLeftMs: 0 };
+                    const placed = { domain, slots: 6, warmupLeftMs: 0 };
                     this.write(id, { id, service, address, draining, startedAtMs, ...placed });
                 }
             }
@@ -365,15 +418,20 @@
         }
         const entries = [...this.entries.values()];
         const change = this.lastChange;
+        const rows = [...this.evacuated].map(domain => ({
+            ...{ key: `${EVACUATION_PREFIX}${domain}`, value: Buffer.alloc(0), version: 0 },
+        }));
         instance.clock.deliver(() => {
             const { directory } = instance.targets;
             const current = new Map(entries.map(entry => [entry.id, entry]));
             [...instance.read.keys(), ...current.keys()].forEach(id => instance.read.set(id, change));
             if (begin !== undefined) {
                 begin();
+                instance.evacuations.restored(rows);
                 directory.restored(entries);
                 return;
             }
+            instance.evacuations.listed(rows);
             [...directory.all()]
                 .filter(({ entry }) => !current.has(entry.id))
                 .forEach(({ entry }) => directory.entryGone(entry.id));
