--- a/src/process/gateway/__tests__/evacuatedOwners.test.ts
+++ b/src/process/gateway/__tests__/evacuatedOwners.test.ts
@@ -1,6 +1,6 @@
 import { jest } from "@jest/globals";
 import { DOMAINS, heldIn, moveMs } from "../../../../test/support/evacuatedDomains.js";
-import { EVACUATE_MS, KEYED_SERVICE, OwnedService, type OwnedInstance } from "../../../../test/support/ownedService.js";
+import { KEYED_SERVICE, OwnedService, type OwnedInstance } from "../../../../test/support/ownedService.js";
 import { seededRandom } from "../../../../test/support/seededRandom.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import type { LogFields } from "../../observability/logger.js";
@@ -21,10 +21,10 @@
 }
 
 /** Instances of which one has assigned the keys of nine targets in three domains. */
-const start = async (...instances: string[]): Promise<System> => {
-    jest.spyOn(Math, "random").mockImplementation(seededRandom(7));
+const start = async (instances: readonly string[], seed = 7): Promise<System> => {
+    jest.spyOn(Math, "random").mockImplementation(seededRandom(seed));
     const log: System["log"] = [];
-    const service: OwnedService = new OwnedService(7, name => {
+    const service: OwnedService = new OwnedService(seed, name => {
         const write = (message: string, fields: LogFields = {}) => {
             log.push({ message, fields });
             service.note(`${name}: ${message} ${JSON.stringify(fields)}`);
@@ -61,7 +61,7 @@
     afterEach(() => jest.restoreAllMocks());
 
     it("guards against keys that stay there, or move without a handover", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service, log } = system;
         log.splice(0);
         service.setEvacuated("wels", true);
@@ -78,7 +78,7 @@
     });
 
     it("guards against keys that return while the evacuation lasts, and against targets that get none after it", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await service.advance(20_000);
@@ -90,7 +90,7 @@
     });
 
     it("guards against keys that are lost because every domain is evacuated", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         DOMAINS.forEach(domain => service.setEvacuated(domain, true));
         await service.advance(20_000);
@@ -102,7 +102,7 @@
     });
 
     it("guards against keys that go to a domain whose evacuation is next, or don't leave it", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await moveMs(service, ["wels"], MOVED_WITHIN_MS);
@@ -113,16 +113,22 @@
         finish(system);
     });
 
-    it.each([50, 300, 1_000, 2_000])(
-        "guards against keys that are held up by a second evacuation that begins %i ms after the first",
-        async afterMs => {
-            const system = await start("a1", "a2");
+    it.each([
+        [1, 50],
+        [2, 300],
+        [3, 600],
+        [4, 1_000],
+        [5, 2_000],
+    ])(
+        "guards against keys that move twice since a second evacuation begins with the first (seed %i, %i ms later)",
+        async (seed, afterMs) => {
+            const system = await start(["a1", "a2"], seed);
             const { service, log } = system;
             log.splice(0);
             service.setEvacuated("wels", true);
             await service.advance(afterMs);
             service.setEvacuated("steyr", true);
-            await moveMs(service, ["wels", "steyr"], EVACUATE_MS);
+            await moveMs(service, ["wels", "steyr"], MOVED_WITHIN_MS);
             await service.advance(1_000);
             const moves = log.filter(({ message }) => message.includes("have the new owner"));
             expect(moves.filter(({ fields }) => fields.handover !== true)).toEqual([]);
@@ -130,8 +136,32 @@
         },
     );
 
+    it("guards against a handover that is lost since its receiver is evacuated before it has taken the keys", async () => {
+        const system = await start(["a1", "a2"]);
+        const { service, log } = system;
+        const setCut = (cut: "calls" | undefined) =>
+            service.instances.forEach(({ link }) =>
+                [...service.registrations.values()]
+                    .filter(({ domain }) => domain === "steyr")
+                    .forEach(({ process }) => link.cut(process.address, cut)),
+            );
+        log.splice(0);
+        service.setEvacuated("wels", true);
+        await service.advance(50);
+        setCut("calls");
+        await service.advance(600);
+        service.setEvacuated("steyr", true);
+        // Until the first grants have ended without an answer.
+        await service.advance(1_000);
+        setCut(undefined);
+        await moveMs(service, ["wels", "steyr"], SUCCESSION_MS);
+        await service.advance(1_000);
+        expect(log.filter(({ message }) => message.includes("weren't taken"))).toEqual([]);
+        finish(system);
+    });
+
     it("guards against keys without an owner because the row is removed while they move", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await service.advance(500);
@@ -142,7 +172,7 @@
     });
 
     it("guards against keys that stay there because the holder of the lease is lost while they move", async () => {
-        const system = await start("a1", "a2", "a3");
+        const system = await start(["a1", "a2", "a3"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await service.advance(400);
@@ -153,7 +183,7 @@
     });
 
     it("guards against keys that stay there because the store refuses the holder of the lease", async () => {
-        const system = await start("a1", "a2", "a3");
+        const system = await start(["a1", "a2", "a3"]);
         const { service } = system;
         holderOf(service).store.isRejected = true;
         service.setEvacuated("wels", true);
@@ -163,7 +193,7 @@
     });
 
     it("guards against keys that wait for targets in another domain that is cut off", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         const steyr = [...service.registrations.values()].filter(({ domain }) => domain === "steyr");
         const setCut = (cut: "both" | undefined) =>
@@ -180,7 +210,7 @@
     });
 
     it("guards against keys for an evacuated domain from an instance that has started meanwhile", async () => {
-        const system = await start("a1");
+        const system = await start(["a1"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await service.advance(5_000);
@@ -196,7 +226,7 @@
     });
 
     it("guards against keys that are lost, or have two owners, when all machines there lose power", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await service.advance(400);
@@ -208,7 +238,7 @@
     });
 
     it("guards against keys that return because the store is restored from a copy without the row", async () => {
-        const system = await start("a1", "a2");
+        const system = await start(["a1", "a2"]);
         const { service } = system;
         service.setEvacuated("wels", true);
         await service.advance(5_000);
--- a/test/support/targetLink.ts
+++ b/test/support/targetLink.ts
@@ -16,7 +16,7 @@
 /** Time in milliseconds after a thaw or the end of a cut in which the rule doesn't count grants, `thaw_ms`. */
 const THAW_MS = 300;
 /** Connections to one target, as in `platform/ownershipHttp.ts`; further calls wait for one. */
-const CONNECTIONS = 4;
+const CONNECTIONS = 8;
 const UNANSWERED: CallFailure = { type: "unanswered", detail: "no answer in time" };
 
 /** How calls to one address fare. */
