--- a/src/process/gateway/__tests__/evacuations.test.ts
+++ b/src/process/gateway/__tests__/evacuations.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
-import { Evacuations, type Evacuation } from "../evacuations.js";
+import type { Evacuation } from "../evacuation.js";
+import { Evacuations } from "../evacuations.js";
 import type { StoredRow } from "../rowStore.js";
 
 const EVACUATE_MS = 5_000;
--- a/src/process/gateway/decideIntake.ts
+++ b/src/process/gateway/decideIntake.ts
@@ -1,4 +1,4 @@
-import type { Evacuation } from "./evacuations.js";
+import type { Evacuation } from "./evacuation.js";
 import type { StatedRest } from "./targetIntake.js";
 
 /**
--- /dev/null
+++ b/src/process/gateway/evacuation.ts
@@ -0,0 +1,8 @@
+/** A failure domain to whose targets nothing more is to be sent. Times are monotonic, in milliseconds. */
+export interface Evacuation {
+    domain: string;
+    /** Time at which this instance read the row. */
+    since: number;
+    /** Time from which its targets get no more requests. */
+    sendsUntil: number;
+}
--- a/src/process/gateway/evacuationProgress.ts
+++ b/src/process/gateway/evacuationProgress.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
-import type { Evacuation } from "./evacuations.js";
+import type { Evacuation } from "./evacuation.js";
 import type { KeyRange } from "./keyMap.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 
--- a/src/process/gateway/evacuations.ts
+++ b/src/process/gateway/evacuations.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
+import type { Evacuation } from "./evacuation.js";
 import type { StoredRow } from "./rowStore.js";
 import { RETURN_GRACE_MS } from "./targetDirectory.js";
 
@@ -11,15 +12,6 @@
 /** Age of an ended evacuation up to which a copy of the store may still contain its row, in milliseconds. */
 const COPY_AGE_MS = 60_000;
 
-/** A failure domain to whose targets nothing more is to be sent. Times are monotonic, in milliseconds. */
-export interface Evacuation {
-    domain: string;
-    /** Time at which this instance read the row. */
-    since: number;
-    /** Time from which its targets get no more requests. */
-    sendsUntil: number;
-}
-
 /**
  * The failure domains that are being evacuated, by the rows of the config's table. An evacuation lasts until its row is removed.
  *
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -5,7 +5,7 @@
 import { eraOfToken, nextToken } from "./fencingTokens.js";
 import { chooseOtherReceiver } from "./chooseOtherReceiver.js";
 import { EvacuationProgress, type EvacuatedKeys } from "./evacuationProgress.js";
-import type { Evacuation } from "./evacuations.js";
+import type { Evacuation } from "./evacuation.js";
 import { DEFAULT_HOLD_MS, GRANT_TIMEOUT_MS, GrantRecord } from "./grantRecord.js";
 import { hasSettled } from "./hasSettled.js";
 import {
--- a/src/process/gateway/targetDirectory.ts
+++ b/src/process/gateway/targetDirectory.ts
@@ -1,7 +1,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
-import type { Evacuation } from "./evacuations.js";
+import type { Evacuation } from "./evacuation.js";
 import type { TargetEntry } from "./targetEntry.js";
 import { TargetIntake } from "./targetIntake.js";
 
