Bound the time for an evacuation by the last reading without the row

The time in which evacuated targets are a last choice counted from the reading of the row only. An instance that starts during an evacuation, or reads the row after an outage, a freeze or a path to the store that failed without a sign, would have sent requests for 3 s more, however long ago the row was written. A follower now knows up to which time it had all rows; sends end 0.95 x `evacuateMs` after that at the latest, and at once at an instance that has just started.

--- a/src/process/gateway/__tests__/evacuations.test.ts
+++ b/src/process/gateway/__tests__/evacuations.test.ts
@@ -16,16 +16,19 @@
     const clock = new ManualClock();
     const begun: Evacuation[] = [];
     const ended: string[] = [];
+    /** Age of the last reading without the row. */
+    const unread = { ms: 0 };
     const evacuations = new Evacuations({
         clock,
         logger: SILENT_LOGGER,
         evacuateMs: EVACUATE_MS,
         decode: key => (key.startsWith("evacuate/") ? key.slice("evacuate/".length) : undefined),
+        completeUntil: () => clock.monotonicMs() - unread.ms,
         began: evacuation => begun.push(evacuation),
         ended: domain => ended.push(domain),
     });
     const domains = () => evacuations.all().map(({ domain }) => domain);
-    return { clock, evacuations, begun, ended, domains };
+    return { clock, evacuations, begun, ended, domains, unread };
 };
 
 describe("Evacuations", () => {
@@ -49,6 +52,22 @@
         expect(evacuations.all()).toEqual(begun);
     });
 
+    it.each([
+        ["read at once", 1_500, 3_000],
+        ["read late, since the store didn't answer", 2_500, 2_250],
+        ["read after an outage or a freeze", 6_000, 0],
+        ["read by an instance that has just started", Infinity, 0],
+    ])(
+        "guards against sends later than the time for an evacuation after the writing of a row that is %s",
+        (_, ms, left) => {
+            const { clock, evacuations, begun, unread } = createEvacuations();
+            unread.ms = ms;
+            clock.advance(10_000);
+            evacuations.listed([CONFIG, row("wels")]);
+            expect(begun).toEqual([{ domain: "wels", since: 10_000, sendsUntil: 10_000 + left }]);
+        },
+    );
+
     it("guards against evacuations that a snapshot begins or ends unnoticed", () => {
         const { evacuations, domains } = createEvacuations();
         evacuations.listed([CONFIG, row("wels"), removed("linz")]);
--- a/src/process/gateway/evacuations.ts
+++ b/src/process/gateway/evacuations.ts
@@ -9,6 +9,11 @@
  * is left for the time in which the row is read, which is at most 2 s of the usual 5 s.
  */
 const SENDING_SHARE = 0.6;
+/**
+ * Share of that time from the last reading without the row, after which the row was written, until the targets get no more requests. It
+ * counts where the row is read late, as after a start, a freeze or an outage. The rest is left for the way of a request.
+ */
+const LATEST_SHARE = 0.95;
 /** Age of an ended evacuation up to which a copy of the store may still contain its row, in milliseconds. */
 const COPY_AGE_MS = 60_000;
 
@@ -30,8 +35,8 @@
     private readonly endedAt = new Map<string, number>();
     /** Evacuations in force whose rows are missing since the store was restored. */
     private readonly missing = new Set<string>();
-    /** Domains whose rows are in the copy although their evacuations had ended, with the time at which the row was read. */
-    private readonly doubted = new Map<string, number>();
+    /** Domains whose rows are in the copy although their evacuations had ended, with the times that follow from its reading. */
+    private readonly doubted = new Map<string, Pick<Evacuation, "since" | "sendsUntil">>();
     /** Monotonic time in milliseconds until which rows may be written again after a restore. */
     private graceEndsAt = -Infinity;
 
@@ -43,6 +48,8 @@
             evacuateMs: number;
             /** The failure domain that a row with this key asks to evacuate; `undefined` for another row. */
             decode: (key: string) => string | undefined;
+            /** Monotonic time in milliseconds up to which all rows were known before those that are applied now. */
+            completeUntil: () => number;
             began: (evacuation: Evacuation) => void;
             ended: (domain: string) => void;
         },
@@ -64,7 +71,7 @@
         if (value === undefined) {
             this.end(domain);
         } else {
-            this.begin(domain, this.options.clock.monotonicMs());
+            this.begin(domain, this.timesOfNewRow());
         }
     }
 
@@ -83,7 +90,7 @@
         for (const domain of domains) {
             this.missing.delete(domain);
             if (!this.doubted.has(domain)) {
-                this.begin(domain, now);
+                this.begin(domain, this.timesOfNewRow());
             }
         }
     }
@@ -95,7 +102,7 @@
         this.doubted.clear();
         [...this.domainsOf(rows)]
             .filter(domain => !this.inForce.has(domain) && now - (this.endedAt.get(domain) ?? -Infinity) < COPY_AGE_MS)
-            .forEach(domain => this.doubted.set(domain, now));
+            .forEach(domain => this.doubted.set(domain, this.timesOfNewRow()));
         this.listed(rows);
         this.options.clock.setTimer(RETURN_GRACE_MS, () => this.endGrace());
     }
@@ -115,19 +122,29 @@
             return;
         }
         [...this.missing].forEach(domain => this.end(domain));
-        [...this.doubted].forEach(([domain, readAt]) => this.begin(domain, readAt));
+        [...this.doubted].forEach(([domain, times]) => this.begin(domain, times));
         this.doubted.clear();
     }
 
-    private begin(domain: string, since: number): void {
+    /** The times of an evacuation whose row is read now. */
+    private timesOfNewRow(): Pick<Evacuation, "since" | "sendsUntil"> {
+        const { clock, evacuateMs, completeUntil } = this.options;
+        const since = clock.monotonicMs();
+        const latest = Math.min(since + evacuateMs * SENDING_SHARE, completeUntil() + evacuateMs * LATEST_SHARE);
+        return { since, sendsUntil: Math.max(since, latest) };
+    }
+
+    private begin(domain: string, times: Pick<Evacuation, "since" | "sendsUntil">): void {
         if (this.inForce.has(domain)) {
             return;
         }
-        const { evacuateMs, logger, began } = this.options;
-        const evacuation = { domain, since, sendsUntil: since + evacuateMs * SENDING_SHARE };
+        const { logger, began } = this.options;
+        const evacuation = { domain, ...times };
         this.inForce.set(domain, evacuation);
         this.endedAt.delete(domain);
-        logger.info(`Failure domain ${domain} is being evacuated.`, { sendsForMs: evacuateMs * SENDING_SHARE });
+        logger.info(`Failure domain ${domain} is being evacuated.`, {
+            sendsForMs: Math.max(0, Math.round(evacuation.sendsUntil - this.options.clock.monotonicMs())),
+        });
         began(evacuation);
     }
 
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -196,6 +196,7 @@
             logger: loggers("membership"),
             evacuateMs: options.evacuateMs,
             decode: platform.decodeEvacuation,
+            completeUntil: () => this.configFollower.completeUntil,
             began: evacuation => this.targets.directory.beginEvacuation(evacuation),
             ended: evacuated => this.targets.directory.endEvacuation(evacuated),
         });
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -84,6 +84,7 @@
     private disposed = false;
     private failures = 0;
     private lastAnswerAt: number;
+    private knownUntil = -Infinity;
     private wake: () => void = () => undefined;
     /** Monotonic time in milliseconds from which the view is up to date; `Infinity` during the pause after changes. */
     private freshFrom = -Infinity;
@@ -153,6 +154,14 @@
         return this.failures > 0;
     }
 
+    /**
+     * Monotonic time in milliseconds up to which all rows were known; `-Infinity` without a snapshot. While rows are applied, it is
+     * that of the answer before, so these rows were written later.
+     */
+    get completeUntil(): number {
+        return this.knownUntil;
+    }
+
     /** Milliseconds since the store last answered a call of this follower. */
     silentMs(): number {
         return this.options.clock.monotonicMs() - this.lastAnswerAt;
@@ -201,6 +210,7 @@
         }
         this.position = Math.max(this.position, to);
         const readAt = clock.monotonicMs() - ageMs;
+        this.knownUntil = Math.max(this.knownUntil, readAt);
         this.relayedUntil = Math.max(this.relayedUntil, readAt + relay.maxAgeMs);
         if (readAt > this.lastAnswerAt) {
             const silentMs = this.silentMs();
@@ -340,6 +350,7 @@
         } else {
             followed.replaced(fresh);
         }
+        this.knownUntil = this.lastAnswerAt;
         this.options.relay?.read({ era, from: version, to: version, rows: undefined });
         return "changed";
     }
@@ -388,6 +399,7 @@
                 }
             }
         }
+        this.knownUntil = this.lastAnswerAt;
         const from = this.position;
         this.position = Math.max(from, version);
         const { relay } = this.options;
--- a/test/failure/evacuatedTargets.test.ts
+++ b/test/failure/evacuatedTargets.test.ts
@@ -68,6 +68,14 @@
         expect((await metricsOf(instance)).includes('sassafrasloom_evacuated_domains{domain="wels"} 1')).toBe(true);
     });
 
+    it("guards against requests from an instance that has started long after the writing of the row", async () => {
+        await prepare(["wels"], false);
+        store.put("op", ROW, {});
+        const instance = await join("a1");
+        expect((await instance.request("GET", "/read/x")).status).toBe(503);
+        expect(requestsAt(0)).toBe(0);
+    });
+
     it("guards against requests after the time for it, and against refusals once the row is removed", async () => {
         await prepare(["wels"], false);
         const instance = await join("a1");
--- a/test/support/ownedService.ts
+++ b/test/support/ownedService.ts
@@ -147,6 +147,7 @@
             logger,
             evacuateMs: EVACUATE_MS,
             decode: key => key.slice(EVACUATION_PREFIX.length),
+            completeUntil: () => clock.monotonicMs(),
             began: evacuation => targets.directory.beginEvacuation(evacuation),
             ended: domain => targets.directory.endEvacuation(domain),
         });
