Take no response with an invalid status for an answer

The HTTP client accepts any three digits as a status and takes each one below 200 for an informational response. Statuses of 600 to 999 reached callers of requests that aren't idempotent, directly and through another instance, and their connections were used again. A 199 with a length of 0 was waited for until the silence limit (0.8 s) or the timeout (504 after 1.5 s). A grant answered 600 counted as refused although the target may have taken it.

A response whose status isn't 200 to 599, and that isn't a 1xx without content, now resets its connection and fails its attempt as possibly run, with the failure type `invalid-status`, which is no evidence of a crash. Calls to the store and to targets count as unanswered then.

--- a/src/connection/__tests__/httpCalls.test.ts
+++ b/src/connection/__tests__/httpCalls.test.ts
@@ -1,9 +1,9 @@
 import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { createServer as createSocketServer, type AddressInfo } from "node:net";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { pause } from "../../../test/support/waitFor.js";
-import { call, createCallPool } from "../httpCalls.js";
+import { call, callUntilTrusted, createCallPool } from "../httpCalls.js";
 
 const TIMEOUT_MS = 300;
 /** Time after which a call counts as one without a timeout, in milliseconds. */
@@ -66,3 +66,33 @@
         expect(await ask(controller.signal)).toEqual({ type: "unanswered", detail: "restored" });
     });
 });
+
+// A status of 600 counted as a refusal of the call, which the process may have carried out.
+describe("a call whose response has an invalid status", () => {
+    it.each(["000", "099", "199", "600", "999", "1000", "2 0"])(
+        "is unanswered, and its connection reset (%s)",
+        async status => {
+            let connections = 0;
+            const closed: Promise<void>[] = [];
+            const server = createSocketServer(socket => {
+                connections++;
+                closed.push(new Promise(resolve => socket.once("close", () => resolve())));
+                socket.on("error", () => undefined);
+                socket.on("data", () => socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`));
+            });
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            const pool = createCallPool(address, 1);
+            const from = performance.now();
+            const request = { method: "POST", path: "/grant", body: "{}" } as const;
+            expect(await call(pool, request, PATIENCE_MS)).toMatchObject({ type: "unanswered" });
+            const copy = () => ({ request, isDoubted: () => false });
+            expect(await callUntilTrusted({ address, pool, copy }, PATIENCE_MS)).toMatchObject({ type: "unanswered" });
+            expect(performance.now() - from).toBeLessThan(PATIENCE_MS);
+            await Promise.all(closed);
+            expect(connections).toBe(2);
+            await pool.destroy();
+            await new Promise(resolve => server.close(resolve));
+        },
+    );
+});
--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -250,3 +250,18 @@
     // A piece of 8 KB has 1,365 such chunks, and two turns can follow each other within an iteration.
     expect(await mostAtOnce(connections, length, () => 1)).toBeLessThanOrEqual(2_732);
 });
+
+// A failure of this type isn't counted as a broken connection, which would make the request suspect if the target then ends.
+test.each(["000", "099", "101", "199", "600", "999", "1000", "2 0"])(
+    "guards against a response with the status %s that is taken for an answer or for a broken connection",
+    async status => {
+        const target = await startScriptedTarget(({ socket }) => {
+            socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 3\r\n\r\nodd`);
+        });
+        const connections = new TargetConnections(target.address, systemClock);
+        disposals.push(() => connections.dispose(), target.dispose);
+        const { headers, content, failure } = await receive(connections);
+        expect([failure?.type, headers, content]).toEqual(["invalid-status", 0, ""]);
+        expect(connections.size).toBe(0);
+    },
+);
--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { errors, Pool, type Dispatcher } from "undici";
 import { resettingConnector } from "./resettingConnector.js";
+import { classifyResponse, InvalidStatusError } from "./responseStatus.js";
 
 /** The status and the headers of a response. */
 export interface CallHead {
@@ -71,12 +72,27 @@
     });
 
 /**
- * Makes one call and reads the whole response.
- *
- * @example
- * const result = await call(pool, { method: "POST", path: "/grant", body: "{}" }, 800);
+ * Resets the connection of a response with an invalid status. The call then counts as unanswered: a status that the process never
+ * meant to send says nothing of whether the call took effect.
  */
-export const call = async (pool: Dispatcher, request: CallRequest, timeoutMs: number): Promise<CallResult> => {
+const rejectInvalidStatus: Dispatcher.DispatcherComposeInterceptor = dispatch => (options, handler) =>
+    dispatch(options, {
+        onRequestStart: (...started) => handler.onRequestStart?.(...started),
+        onRequestUpgrade: (...upgraded) => handler.onRequestUpgrade?.(...upgraded),
+        onResponseStart: (controller, status, headers, message) => {
+            if (classifyResponse(status, headers) === "invalid") {
+                controller.abort(new InvalidStatusError(status));
+                return;
+            }
+            handler.onResponseStart?.(controller, status, headers, message);
+        },
+        onResponseData: (...received) => handler.onResponseData?.(...received),
+        onResponseEnd: (...ended) => handler.onResponseEnd?.(...ended),
+        onResponseError: (...failed) => handler.onResponseError?.(...failed),
+    });
+
+/** Makes one call through a dispatcher and reads the whole response. */
+const dispatchCall = async (dispatcher: Dispatcher, request: CallRequest, timeoutMs: number): Promise<CallResult> => {
     // Node.js 20 may drop a timeout signal that only `AbortSignal.any` refers to, and the call would never end.
     const controller = new AbortController();
     const abort = () => controller.abort(request.signal?.reason);
@@ -86,7 +102,7 @@
         if (request.signal?.aborted === true) {
             abort();
         }
-        const response = await pool.request({
+        const response = await dispatcher.request({
             method: request.method,
             path: request.path,
             ...(request.body === undefined
@@ -106,6 +122,15 @@
     }
 };
 
+/**
+ * Makes one call and reads the whole response.
+ *
+ * @example
+ * const result = await call(pool, { method: "POST", path: "/grant", body: "{}" }, 800);
+ */
+export const call = (pool: Dispatcher, request: CallRequest, timeoutMs: number): Promise<CallResult> =>
+    dispatchCall(pool.compose(rejectInvalidStatus), request, timeoutMs);
+
 /** Calls to one address. */
 export interface RenewingCalls {
     call(request: CallRequest, timeoutMs: number): Promise<CallResult>;
@@ -186,7 +211,7 @@
             wasDoubted = true;
         },
     );
-    const result = await call(pool.compose(doubting), request, timeoutMs);
+    const result = await dispatchCall(pool.compose(rejectInvalidStatus, doubting), request, timeoutMs);
     return wasDoubted ? undefined : result;
 };
 
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -4,6 +4,7 @@
 import { ConnectionQueue } from "./connectionQueue.js";
 import type { Header } from "./peerProtocol.js";
 import { resettingConnector } from "./resettingConnector.js";
+import { classifyResponse, InvalidStatusError } from "./responseStatus.js";
 import { spreadReads } from "./spreadReads.js";
 
 /** Idle time after which a connection to a target is closed instead of reused, in milliseconds. */
@@ -54,7 +55,9 @@
         /** Another instance, to which the request was forwarded, has sent nothing of it to the target. */
         | "not-forwarded"
         /** The head or the framing of the answer was too large. */
-        | "excessive-framing";
+        | "excessive-framing"
+        /** The response has a status that is none of HTTP. */
+        | "invalid-status";
     /** Whether the target refused the connection, which means that no process listens. */
     refused: boolean;
     detail: string;
@@ -90,6 +93,9 @@
 
 const originOf = (address: string): string => `http://${address}`;
 
+/** Message of the HTTP client about a status that isn't three digits; it has no code. */
+const INVALID_STATUS_LINE = /\(Invalid (response status|status code)\)$/;
+
 const describeFailure = (error: unknown): TargetFailure => {
     const code = typeof error === "object" && error !== null && "code" in error ? String(error.code) : "";
     const detail = error instanceof Error ? error.message : String(error);
@@ -102,6 +108,9 @@
     if (code === "EXCESSIVE_READ" || code === "UND_ERR_HEADERS_OVERFLOW") {
         return { type: "excessive-framing", refused: false, detail };
     }
+    if (code === "INVALID_STATUS" || INVALID_STATUS_LINE.test(detail)) {
+        return { type: "invalid-status", refused: false, detail };
+    }
     return { type: code === "UND_ERR_ABORTED" ? "aborted" : "broken", refused: false, detail };
 };
 
@@ -186,8 +195,11 @@
                 }
                 answer.sent();
             },
-            onResponseStart: (_controller, status, headers) => {
-                if (status >= 200) {
+            onResponseStart: (responding, status, headers) => {
+                const kind = classifyResponse(status, headers);
+                if (kind === "invalid") {
+                    responding.abort(new InvalidStatusError(status));
+                } else if (kind === "final") {
                     connection.statedBytes = Number(headers["content-length"] ?? 0);
                     const boot = headers["sassafrasloom-boot"];
                     answer.head(status, toHeaderList(headers), typeof boot === "string" ? boot : undefined);
