Bound the rate of requests to cold targets over all instances

Cause: an instance knows nothing of what the others send to a target that has just started, so the sum grows with the instances, and a target crashes at a rate well above its bound.

Change: a cold target of a service with a warm-up rate has a limit from its first request on, which the holder of the assigner lease admits with a token bucket, like a stated limit. The rate follows from the bound and the longest time from a permit to the arrival of its request; a request that would be written later than that isn't sent. Cold are targets by their entry, by their answers, by a later start, by connections that failed as after a restart, and by a report of another instance. Services without a warm-up rate are unchanged.

--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -53,6 +53,8 @@
         | "connection-limit"
         /** Another instance, to which the request was forwarded, has sent nothing of it to the target. */
         | "not-forwarded"
+        /** It may no longer be written, so nothing was sent. */
+        | "permit-expired"
         /** The head or the framing of the answer was too large. */
         | "excessive-framing";
     /** Whether the target refused the connection, which means that no process listens. */
@@ -88,6 +90,8 @@
     wasReset: boolean;
 }
 
+const EXPIRED_DETAIL = "the request could not be written in time.";
+
 const originOf = (address: string): string => `http://${address}`;
 
 const describeFailure = (error: unknown): TargetFailure => {
@@ -152,9 +156,14 @@
      * Sends a request on an idle connection, or on a new one if there is none or `fresh` is set. Connections idle for
      * more than `maxIdleMs` are closed, as the target may be about to close them. At the limit an idle connection is
      * closed to open a new one; if none is idle, the request fails with `connection-limit` before it is sent. At an address
-     * that isn't valid, each request fails before it is sent.
+     * that isn't valid, each request fails before it is sent. If `mayWrite` returns `false` just before the request is written,
+     * which may be the time of a connection later, it fails with `permit-expired`.
      */
-    send(request: TargetRequest, answer: TargetAnswer, options: { fresh: boolean; maxIdleMs?: number }): SentRequest {
+    send(
+        request: TargetRequest,
+        answer: TargetAnswer,
+        options: { fresh: boolean; maxIdleMs?: number; mayWrite?: () => boolean },
+    ): SentRequest {
         if (!this.hasValidAddress) {
             const detail = `${this.address} isn't a host and a port; correct the entry of the target.`;
             return this.failUnsent(answer, { type: "broken", refused: false, detail });
@@ -167,6 +176,7 @@
         connection.idle = false;
         let controller: Dispatcher.DispatchController | undefined;
         let abortReason: string | undefined;
+        let isExpired = false;
         let settled = false;
         const fail = (error: unknown) => {
             if (settled) {
@@ -174,6 +184,10 @@
             }
             settled = true;
             this.discard(connection);
+            if (isExpired) {
+                answer.failed({ type: "permit-expired", refused: false, detail: EXPIRED_DETAIL });
+                return;
+            }
             const failure = describeFailure(error);
             answer.failed(abortReason === undefined ? failure : { ...failure, type: "aborted", detail: abortReason });
         };
@@ -184,6 +198,11 @@
                     started.abort(new Error(abortReason));
                     return;
                 }
+                if (options.mayWrite?.() === false) {
+                    isExpired = true;
+                    started.abort(new Error(EXPIRED_DETAIL));
+                    return;
+                }
                 answer.sent();
             },
             onResponseStart: (_controller, status, headers) => {
--- a/src/process/gateway/forwardingPeer.ts
+++ b/src/process/gateway/forwardingPeer.ts
@@ -94,7 +94,12 @@
      * Sends a request to the peer. If the peer states that it has sent nothing of it, the answer fails with `not-forwarded`, also
      * after `sent` was called.
      */
-    send(request: ForwardableRequest, fields: ForwardFields, answer: TargetAnswer): SentRequest {
+    send(
+        request: ForwardableRequest,
+        fields: ForwardFields,
+        answer: TargetAnswer,
+        mayWrite?: () => boolean,
+    ): SentRequest {
         const underWay = { since: this.clock.monotonicMs() };
         this.running.add(underWay);
         let refused: { chunks: Buffer[]; bytes: number; retryAfterSeconds: number | undefined } | undefined;
@@ -156,7 +161,7 @@
                     answer.failed(failure);
                 },
             },
-            { fresh: false, maxIdleMs: MAX_IDLE_MS },
+            { fresh: false, maxIdleMs: MAX_IDLE_MS, mayWrite },
         );
         return sent;
     }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -44,9 +44,11 @@
 import { stopSchedule } from "./stopSchedule.js";
 import { TableFollower } from "./tableFollower.js";
 import { isAccepting, type DirectoryTarget } from "./targetDirectory.js";
-import type { StatedLimit, TargetIntake } from "./targetIntake.js";
+import type { TargetIntake } from "./targetIntake.js";
 import { TargetPlacement } from "./targetPlacement.js";
 import type { WarmupBound } from "./warmupBound.js";
+import type { TargetLimit } from "./warmupLimit.js";
+import { WarmupWatch, type ColdCause, type ServiceWarmup, type WarmingTarget } from "./warmupWatch.js";
 
 /**
  * Time for which the store holds calls for changes of configs and targets, in milliseconds. A call that is lost is noticed before
@@ -129,6 +131,7 @@
 export class Gateway {
     private readonly config: ConfigKeeper;
     private readonly targets: GatewayTargets;
+    private readonly warmups: WarmupWatch;
     private readonly owners: KeyOwners;
     private readonly peers: PeerPort;
     private readonly load: SharedLoad;
@@ -176,6 +179,12 @@
                 this.assigners.update(lookup.config.services);
             },
         });
+        this.warmups = new WarmupWatch({
+            clock,
+            bound: options.warmupBound,
+            warmupOf: service => this.warmupOf(service),
+            turnedCold: (...turned) => this.turnedCold(...turned),
+        });
         this.targets = new GatewayTargets({
             clock,
             logger: loggers("membership"),
@@ -188,6 +197,7 @@
             },
             checkInMs: options.checkInMs,
             graceMs: options.graceMs,
+            coldLimit: entry => this.warmups.limitOf(entry),
         });
         this.owners = new KeyOwners({ clock, logger: loggers("ownership") });
         this.peers = new PeerPort({ address: options.peers, logger: loggers("peers") });
@@ -219,6 +229,8 @@
             unanswered: () => this.assigners.lease.lookAgain(),
             limitEnded: ({ id, startedAtMs }, before) =>
                 this.targets.get(id, startedAtMs)?.listed.intake.endLimit(before),
+            others: () => this.relay.peers().map(({ address }) => address),
+            coldReported: (target, leftMs) => this.warmups.reported(target, leftMs),
         });
         this.peers.handle(this.limits.receive);
         this.leaving = new LeavingExchange({
@@ -269,8 +281,14 @@
             ...OPERATOR_ROWS,
             // The assigner has to move the keys of leaving targets without delay.
             pauseMs: () => (this.assigners.lease.isHeld() ? ASSIGNER_CHANGES_PAUSE_MS : TARGET_CHANGES_PAUSE_MS),
-            replaced: rows => this.targets.listed(rows),
-            restored: rows => this.targets.restored(rows),
+            replaced: rows => {
+                this.targets.listed(rows);
+                this.targetsRead();
+            },
+            restored: rows => {
+                this.targets.restored(rows);
+                this.targetsRead();
+            },
             changed: row => this.targetChanged(row),
         });
         this.crashesFollower = this.follow({
@@ -340,11 +358,19 @@
             attemptFailed: (service, type, wasSent) =>
                 this.metrics.counter("attempt_failures_total", { service, type, sent: String(wasSent) }).add(),
             excessiveAnswer: (request, target, part, detail) => this.excessiveAnswer(request, target, part, detail),
-            brokeWhileRunning: (call, target) => this.suspects.connectionBroke(call, target.id),
+            brokeWhileRunning: (call, target) => {
+                this.suspects.connectionBroke(call, target.id);
+                this.warmups.connectionFailed(target.listed.entry, false);
+            },
             peerTo: (...way) => this.paths.peerTo(...way),
             notForwarded: (...notForwarded) => this.paths.notForwarded(...notForwarded),
             forwardingLost: peer => peer.suspect(),
-            connectionFailed: (target, failure) => this.paths.connectionFailed(target, failure),
+            connectionFailed: (target, failure) => {
+                if (failure.refused || failure.type === "broken") {
+                    this.warmups.connectionFailed(target.listed.entry, failure.refused);
+                }
+                this.paths.connectionFailed(target, failure);
+            },
             ended: (request, outcome) => {
                 this.requests.delete(request);
                 if (outcome.type === "answered") {
@@ -368,7 +394,7 @@
             relay: () => this.relay,
             suspects: () => this.suspects,
             unreadSince: () => this.stalls.unreadSince(),
-            services: { ...this.services, drainMs: options.drainMs },
+            services: { ...this.services, unreadSince: () => this.stalls.unreadSince(), drainMs: options.drainMs },
         });
         this.stalls = new StallWatch(clock, stallMs => {
             this.metrics.counter("stalls_total", {}).add();
@@ -527,10 +553,11 @@
     }
 
     /** Asks whether a request may be sent to a target with a limit. */
-    private permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation {
+    private permit(target: GatewayTarget, limit: TargetLimit, callback: (permit: Permit) => void): TimerCancellation {
         const { id, service, startedAtMs } = target.listed.entry;
-        const ageMs = this.options.clock.monotonicMs() - limit.statedAt;
-        return this.limits.permit({ id, startedAtMs, perSecond: limit.perSecond, ageMs }, permit => {
+        const { stated, cold } = limit;
+        const ageMs = stated === undefined ? 0 : this.options.clock.monotonicMs() - stated.statedAt;
+        return this.limits.permit({ id, startedAtMs, perSecond: stated?.perSecond, ageMs, cold }, permit => {
             this.metrics.counter("limit_permits_total", { service, result: permit.result }).add();
             callback(permit);
         });
@@ -538,10 +565,11 @@
 
     /** Applies what an answer to a request that was sent at `sentAt` states of its target. */
     private answerStated(target: GatewayTarget, facts: AnswerFacts, sentAt: number): void {
-        const { leaving, restMs, limitPerSecond, signed, answeredBy } = facts;
+        const { leaving, restMs, limitPerSecond, signed, answeredBy, warmupLeftMs } = facts;
         if (answeredBy !== undefined && answeredBy !== target.id) {
             return;
         }
+        this.warmups.answered(target.listed.entry, sentAt, warmupLeftMs);
         const { intake } = target.listed;
         if (leaving) {
             this.leavingStated(target.listed);
@@ -591,7 +619,24 @@
             .loggers("dispatch")
             .info(`The limit of target ${id} has changed.`, { service, perSecond: perSecond ?? "none" });
         const ageMs = perSecond === undefined ? this.options.clock.monotonicMs() - sentAt : 0;
-        this.limits.learned({ id, startedAtMs, perSecond: target.limit?.perSecond, ageMs });
+        this.limits.learned({ id, startedAtMs, perSecond: intake.limit?.perSecond, ageMs });
+    }
+
+    /** How targets of a service warm up, if that bounds their requests. */
+    private warmupOf(service: string): ServiceWarmup | undefined {
+        const { warmupMs = 0, warmupPerSecond = 0 } = this.config.current?.service(service) ?? {};
+        return warmupPerSecond > 0 ? { warmupMs, perSecond: warmupPerSecond } : undefined;
+    }
+
+    private turnedCold(target: WarmingTarget, cause: ColdCause, leftMs: number): void {
+        const { id, service } = target;
+        this.metrics.counter("targets_turned_cold_total", { service, cause }).add();
+        this.options
+            .loggers("dispatch")
+            .info(`Target ${id} is cold; the rate of its requests is bounded.`, { service, cause, leftMs });
+        if (cause === "answer" || cause === "refused") {
+            this.limits.turnedCold(target, leftMs);
+        }
     }
 
     private excessiveAnswer(
@@ -656,7 +701,8 @@
                 target: target.id,
                 inFlight: target.running,
                 isCut: target.reach.isCut,
-                limit: target.limit?.perSecond,
+                limit: target.listed.intake.limit?.perSecond,
+                isCold: target.isCold,
             })),
             retries: [...this.retries].map(([service, budget]) => ({ service, available: budget.available() })),
         };
@@ -745,6 +791,12 @@
         return follower;
     }
 
+    private targetsRead(): void {
+        for (const { entry } of this.targets.directory.all()) {
+            this.warmups.entryRead(entry);
+        }
+    }
+
     /** Applies a target's entry. Returns `same` if only the state of its warm-up has changed. */
     private targetChanged(row: StoredRow): "same" | undefined {
         const { directory } = this.targets;
@@ -752,10 +804,16 @@
         const wasMissing = directory.isMissing(row.key);
         this.targets.rowChanged(row);
         const later = directory.get(row.key)?.entry;
+        if (later !== undefined) {
+            this.warmups.entryRead(later);
+        }
+        // All instances have to know of a target that has turned cold again.
+        const hasTurnedCold = (later?.warmupLeftMs ?? 0) > (earlier?.warmupLeftMs ?? 0);
         const isSame =
             earlier !== undefined &&
             later !== undefined &&
             !wasMissing &&
+            !(hasTurnedCold && this.warmupOf(later.service) !== undefined) &&
             row.value !== undefined &&
             isDeepStrictEqual({ ...earlier, warmupLeftMs: 0 }, { ...later, warmupLeftMs: 0 });
         return isSame ? "same" : undefined;
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -26,6 +26,8 @@
         limit: number | undefined;
         /** Whether the path to the target is cut. */
         isCut: boolean;
+        /** Whether its warm-up bounds the requests that it may get. */
+        isCold: boolean;
     }>;
     retries: Iterable<{ service: string; available: number }>;
 }
@@ -56,6 +58,8 @@
     private readonly cells = new Map<string, ServiceCells>();
     /** Targets that have stated a limit. */
     private readonly limited = new Set<string>();
+    /** Services that have had cold targets. */
+    private readonly warmed = new Set<string>();
     /** Services whose keys this instance has assigned. */
     private readonly assigned = new Set<string>();
 
@@ -125,7 +129,9 @@
             this.metrics.gauge("owners_without_grant", { service }).set(failing.get(service) ?? 0);
         }
         const cutPaths = new Map<string, number>();
-        for (const { service, target, inFlight, limit, isCut } of targets) {
+        const coldTargets = new Map<string, number>();
+        for (const { service, target, inFlight, limit, isCut, isCold } of targets) {
+            coldTargets.set(service, (coldTargets.get(service) ?? 0) + (isCold ? 1 : 0));
             cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
@@ -133,6 +139,12 @@
                 this.metrics.gauge("target_stated_limit", { service, target }).set(limit ?? Infinity);
             }
         }
+        for (const [service, cold] of coldTargets) {
+            if (cold > 0 || this.warmed.has(service)) {
+                this.warmed.add(service);
+                this.metrics.gauge("cold_targets", { service }).set(cold);
+            }
+        }
         cutPaths.forEach((cut, service) => this.metrics.gauge("cut_paths", { service }).set(cut));
         for (const { service, available } of retries) {
             this.metrics.gauge("retry_budget_tokens", { service }).set(available);
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -6,8 +6,8 @@
 import type { TargetReport } from "./loadReport.js";
 import { ServiceProfile } from "./serviceProfile.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
-import type { StatedLimit } from "./targetIntake.js";
 import { TargetReach } from "./targetReach.js";
+import { lowerLimit, type ColdLimit, type TargetLimit } from "./warmupLimit.js";
 
 /** Weight of the newest sample in moving averages of times and failures. */
 const SAMPLE_WEIGHT = 0.12;
@@ -55,6 +55,8 @@
         private readonly sameDomain: boolean,
         readonly connectionLimit: number,
         private readonly profile = new ServiceProfile(),
+        /** The limit that follows from its warm-up; `undefined` while it is warm or any rate is allowed. */
+        private readonly coldLimit: () => ColdLimit | undefined = () => undefined,
     ) {
         this.connections = new TargetConnections(listed.entry.address, clock, { limit: connectionLimit });
         this.reach = new TargetReach(clock);
@@ -80,9 +82,14 @@
         return expectedMs(this.candidate());
     }
 
-    /** The limit that the target states; `undefined` while it states none. */
-    get limit(): StatedLimit | undefined {
-        return this.listed.intake.limit;
+    /** The lower one of the limit that the target states and that of a cold target; `undefined` if there is neither. */
+    get limit(): TargetLimit | undefined {
+        return lowerLimit(this.listed.intake.limit, this.coldLimit());
+    }
+
+    /** Whether its warm-up bounds the requests that it may get. */
+    get isCold(): boolean {
+        return this.coldLimit() !== undefined;
     }
 
     /**
--- a/src/process/gateway/gatewayTargets.ts
+++ b/src/process/gateway/gatewayTargets.ts
@@ -5,6 +5,7 @@
 import { ServiceProfile } from "./serviceProfile.js";
 import { TargetDirectory, type DirectoryTarget } from "./targetDirectory.js";
 import type { TargetEntry } from "./targetEntry.js";
+import type { ColdLimit } from "./warmupLimit.js";
 
 /**
  * Share of a target's connections that all instances together may use, and the minimum number of instances assumed to share
@@ -44,6 +45,8 @@
             gone: (id: string) => void;
             /** Time allowed for running requests to a target whose entry was removed, in milliseconds. */
             graceMs: number;
+            /** The limit of a target that follows from its warm-up. */
+            coldLimit?: (entry: TargetEntry) => ColdLimit | undefined;
         },
     ) {
         const { clock, logger, checkInMs } = options;
@@ -75,7 +78,9 @@
         const limit = connectionLimit(listed.entry.service) ?? DEFAULT_TARGET_CONNECTIONS;
         const connections = Math.max(MIN_CONNECTIONS, Math.floor((limit * CONNECTION_SHARE) / ASSUMED_INSTANCES));
         const profile = this.profileOf(listed.entry.service);
-        const target = new GatewayTarget(listed, clock, listed.entry.domain === domain, connections, profile);
+        const coldLimit = () => this.options.coldLimit?.(listed.entry);
+        const isSameDomain = listed.entry.domain === domain;
+        const target = new GatewayTarget(listed, clock, isSameDomain, connections, profile, coldLimit);
         this.views.set(listed, target);
         return target;
     }
--- a/src/process/gateway/limitBucket.ts
+++ b/src/process/gateway/limitBucket.ts
@@ -33,10 +33,14 @@
     private waiting = 0;
     private updatedAt: number;
 
-    /** @param rate limit in requests per second */
+    /**
+     * @param rate limit in requests per second
+     * @param maxBurst number of requests that may be saved up; by default those of a second
+     */
     constructor(
         private readonly clock: Clock,
         private rate: number,
+        private maxBurst?: number,
     ) {
         this.updatedAt = clock.monotonicMs();
     }
@@ -52,9 +56,10 @@
     }
 
     /** Applies a changed limit from now on. */
-    setRate(perSecond: number): void {
+    setRate(perSecond: number, maxBurst?: number): void {
         this.update();
         this.rate = perSecond;
+        this.maxBurst = maxBurst;
         this.tokens = Math.min(this.tokens, this.burst());
     }
 
@@ -76,8 +81,13 @@
         return { type: "refused", freeInMs, retryAfterMs };
     }
 
+    /** Returns what `take` has just admitted, because the request isn't sent. */
+    giveBack(): void {
+        this.tokens = Math.min(this.burst(), this.tokens + 1);
+    }
+
     private burst(): number {
-        return Math.max(1, this.rate * BURST_S);
+        return this.maxBurst ?? Math.max(1, this.rate * BURST_S);
     }
 
     private update(): void {
--- a/src/process/gateway/limitExchange.ts
+++ b/src/process/gateway/limitExchange.ts
@@ -1,13 +1,15 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { LimitAdmitter, LimitAnswer, LimitedTarget } from "./limitAdmitter.js";
-import { decodeLimitMessage, encodeLimitMessage, type LimitKnowledge } from "./limitMessage.js";
+import { decodeLimitMessage, encodeLimitMessage, type LimitKnowledge, type LimitMessage } from "./limitMessage.js";
 import type { DatagramHandler, PeerAddress } from "./peerPort.js";
+import type { WarmingTarget } from "./warmupWatch.js";
+import { PERMIT_ANSWER_MS, PERMIT_CONNECT_MS } from "./warmupLimit.js";
 
 /**
  * Time after which a question counts as unanswered, in milliseconds. It is also the longest time from the admission of a
  * request to its sending.
  */
-export const ANSWER_TIMEOUT_MS = 150;
+export const ANSWER_TIMEOUT_MS = PERMIT_ANSWER_MS;
 /** Time for which requests are refused without a question after one that wasn't answered, in milliseconds. */
 export const SILENCE_PAUSE_MS = 500;
 /** Maximum time for which requests are refused without a question, in milliseconds; the limit may have changed. */
@@ -15,7 +17,12 @@
 
 /** Decision about one request, with the delay in milliseconds after which its caller may return. */
 export type Permit =
-    | { type: "admitted"; result: "admitted" }
+    | {
+          type: "admitted";
+          result: "admitted";
+          /** Monotonic time in milliseconds until which the request may be written; missing unless the target is cold. */
+          usableUntil?: number;
+      }
     | {
           type: "refused";
           /** Whether the limit refused it, or no instance answered that admits. */
@@ -61,6 +68,10 @@
             unanswered: () => void;
             /** Called when a target is found to have ended its limit before a time, in milliseconds of the monotonic clock. */
             limitEnded: (target: LimitedTarget, before: number) => void;
+            /** Addresses of the other instances, as far as this one knows them while it admits. */
+            others?: () => PeerAddress[];
+            /** Called when another instance has found that a target has turned cold. */
+            coldReported?: (target: WarmingTarget, leftMs: number) => void;
         },
     ) {}
 
@@ -68,7 +79,7 @@
      * Calls back once, at the latest after `ANSWER_TIMEOUT_MS`; returns a function that cancels this. A permit that is
      * cancelled is lost.
      */
-    permit(knowledge: LimitKnowledge & { perSecond: number }, callback: (permit: Permit) => void): TimerCancellation {
+    permit(knowledge: LimitKnowledge, callback: (permit: Permit) => void): TimerCancellation {
         const { admitter, isAdmitting, admittingAddress, send } = this.options;
         const askedAt = this.options.clock.monotonicMs();
         const closed = this.refuseIfClosed(knowledge);
@@ -102,6 +113,25 @@
         }
     }
 
+    /** Passes on to all instances that a target has turned cold, so that none sends to it without a permit. */
+    turnedCold({ id, service, startedAtMs }: WarmingTarget, leftMs: number): void {
+        const { isAdmitting, admittingAddress, send } = this.options;
+        const message = { type: "limit-cold" as const, id, service, startedAtMs, leftMs };
+        if (isAdmitting()) {
+            this.passOn({ ...message, isPassedOn: true });
+            return;
+        }
+        const address = admittingAddress();
+        if (address !== undefined) {
+            send(address, encodeLimitMessage({ ...message, isPassedOn: false }));
+        }
+    }
+
+    private passOn(message: LimitMessage): void {
+        const content = encodeLimitMessage(message);
+        this.options.others?.().forEach(address => this.options.send(address, content));
+    }
+
     /** Handles a datagram of another instance; returns `false` if it isn't about limits. */
     receive: DatagramHandler = (content, sender) => {
         const message = decodeLimitMessage(content);
@@ -121,6 +151,12 @@
                     admitter.learn(message.knowledge);
                 }
                 break;
+            case "limit-cold":
+                this.options.coldReported?.(message, message.leftMs);
+                if (!message.isPassedOn && isAdmitting()) {
+                    this.passOn({ ...message, isPassedOn: true });
+                }
+                break;
             case "limit-answer":
                 this.pending.get(message.question)?.(message.answer);
                 break;
@@ -155,7 +191,13 @@
     private applied(askedAt: number, target: LimitKnowledge, answer: LimitAnswer | { type: "not-admitting" }): Permit {
         switch (answer.type) {
             case "admitted":
-                return { type: "admitted", result: "admitted" };
+                return target.cold === undefined
+                    ? { type: "admitted", result: "admitted" }
+                    : {
+                          type: "admitted",
+                          result: "admitted",
+                          usableUntil: askedAt + PERMIT_ANSWER_MS + PERMIT_CONNECT_MS,
+                      };
             case "unlimited":
                 this.options.limitEnded(target, askedAt);
                 return { type: "admitted", result: "admitted" };
@@ -169,12 +211,12 @@
         }
     }
 
-    private close({ id, perSecond }: LimitKnowledge, freeInMs: number, retryAfterMs: number): void {
+    private close({ id, perSecond, cold }: LimitKnowledge, freeInMs: number, retryAfterMs: number): void {
         const now = this.options.clock.monotonicMs();
         this.closings.set(id, {
             until: now + Math.min(MAX_CLOSED_MS, freeInMs),
             lastTurnAt: now + retryAfterMs,
-            turnMs: 1_000 / (perSecond ?? 1),
+            turnMs: 1_000 / Math.min(perSecond ?? cold?.perSecond ?? 1, cold?.perSecond ?? Infinity),
         });
     }
 
--- a/src/process/gateway/limitMessage.ts
+++ b/src/process/gateway/limitMessage.ts
@@ -1,6 +1,9 @@
 import { z } from "zod";
 import { parseJson } from "../runtime/parseJson.js";
 
+/** Maximum time for which a message may have a target count as cold, in milliseconds, an hour. */
+const MAX_COLD_MS = 3_600_000;
+
 const limitKnowledgeSchema = z.object({
     /** Identifier and start time of the target's process in Unix milliseconds. */
     id: z.string(),
@@ -9,8 +12,17 @@
     perSecond: z.number().positive().optional(),
     /** Time since the target said so, in milliseconds. */
     ageMs: z.number().min(0),
+    /** The limit that follows from its warm-up; missing unless it is cold. */
+    cold: z
+        .object({
+            perSecond: z.number().positive(),
+            burst: z.number().min(1),
+            /** How much longer it is cold, in milliseconds. */
+            leftMs: z.number().min(0).max(MAX_COLD_MS),
+        })
+        .optional(),
 });
-/** The limit of a target's process, as an instance has read it. */
+/** The limits of a target's process, as an instance knows them. */
 export type LimitKnowledge = z.infer<typeof limitKnowledgeSchema>;
 
 const limitMessageSchema = z.discriminatedUnion("type", [
@@ -22,6 +34,16 @@
         /** Requests that the instance has refused without a question since its last one. */
         refused: z.number().int().min(0),
     }),
+    /** An instance reports a target that has turned cold; the instance that admits passes it on to all. */
+    z.object({
+        type: z.literal("limit-cold"),
+        id: z.string(),
+        service: z.string(),
+        startedAtMs: z.number(),
+        leftMs: z.number().min(0).max(MAX_COLD_MS),
+        /** Whether the instance that admits has passed it on. */
+        isPassedOn: z.boolean(),
+    }),
     /** An instance reports a changed limit. */
     z.object({ type: z.literal("limit-learned"), knowledge: limitKnowledgeSchema }),
     z.object({
--- /dev/null
+++ b/src/process/gateway/warmupWatch.ts
@@ -0,0 +1,208 @@
+import type { Clock } from "../runtime/clock.js";
+import type { TargetEntry } from "./targetEntry.js";
+import type { WarmupBound } from "./warmupBound.js";
+import { coldRate, type ColdLimit } from "./warmupLimit.js";
+
+/**
+ * Time after a failed connection from which on an answer may disprove a restart, in milliseconds. An answer that was written before
+ * the restart may be read just after the failure.
+ */
+const DISPROOF_DELAY_MS = 250;
+/** Failures of connections within this time count as one, in milliseconds. */
+const SAME_FAILURE_MS = 100;
+/** Number of targets that are remembered; those that were added first are forgotten first. */
+const MAX_TARGETS = 5_000;
+
+/** Why a target counts as cold. */
+export type ColdCause = "entry" | "answer" | "restart" | "refused" | "broken" | "report";
+
+/** What identifies a target and its start. */
+export type WarmingTarget = Pick<TargetEntry, "id" | "service" | "startedAtMs">;
+
+/** Warm-up of the targets of a service, as its config states it. */
+export interface ServiceWarmup {
+    /** Time for which a started target is cold, in milliseconds. */
+    warmupMs: number;
+    /** Requests a second that a cold target tolerates; above 0. */
+    perSecond: number;
+}
+
+/** What is known of one target. Times are monotonic, in milliseconds. */
+interface KnownWarmup {
+    startedAtMs: number;
+    /** Remaining time in the entry that was last read, in milliseconds. */
+    entryLeftMs: number;
+    /** End of the warm-up by its entries. */
+    entryUntil: number;
+    /** End of the warm-up by answers and by reports of other instances. */
+    statedUntil: number;
+    /** Time at which a later start was read than the one known before. */
+    restartReadAt: number;
+    /** Spans of failed connections that a restart would explain, oldest first. */
+    failures: { from: number; to: number }[];
+    /** Time of the last evidence of a warm-up other than an answer. */
+    evidenceAt: number;
+}
+
+/**
+ * Knows until when each target counts as cold. This handles targets that start, and ones that restart under the same identifier
+ * before their new entry is read: a failed connection is the first sign of that.
+ *
+ * Times that an entry states are counted from when it was read, as its age isn't known. Statements of the target about itself
+ * replace what was known from before their request was sent. A failed connection stops counting if the target answers a
+ * request that was sent before it, since a restart would have broken that connection, too.
+ *
+ * @example
+ * const watch = new WarmupWatch({ clock, bound, warmupOf });
+ * watch.entryRead(entry);
+ * watch.limitOf(entry); // { perSecond: 7.5, burst: 2, leftMs: 20_000 }
+ */
+export class WarmupWatch {
+    private readonly known = new Map<string, KnownWarmup>();
+
+    constructor(
+        private readonly options: {
+            clock: Clock;
+            bound: WarmupBound;
+            /** Warm-up of a service; `undefined` if its cold targets get any rate. */
+            warmupOf: (service: string) => ServiceWarmup | undefined;
+            /** Called when a target has become cold. */
+            turnedCold?: (target: WarmingTarget, cause: ColdCause, leftMs: number) => void;
+        },
+    ) {}
+
+    /** Applies a target's entry, also one that was read before. */
+    entryRead({ id, service, startedAtMs, warmupLeftMs }: WarmingTarget & Pick<TargetEntry, "warmupLeftMs">): void {
+        const earlier = this.known.get(id);
+        const isSameStart = earlier?.startedAtMs === startedAtMs;
+        if (isSameStart && earlier.entryLeftMs === warmupLeftMs) {
+            // An entry that is listed again says nothing new.
+            return;
+        }
+        const isRestart = earlier !== undefined && startedAtMs > earlier.startedAtMs;
+        this.update({ id, service, startedAtMs }, isRestart ? "restart" : "entry", known => {
+            const now = this.options.clock.monotonicMs();
+            if (isRestart) {
+                known.restartReadAt = now;
+            }
+            known.startedAtMs = Math.max(known.startedAtMs, startedAtMs);
+            known.entryLeftMs = warmupLeftMs;
+            if (warmupLeftMs > 0) {
+                known.entryUntil = Math.max(known.entryUntil, now + warmupLeftMs);
+                known.evidenceAt = now;
+            }
+        });
+    }
+
+    /**
+     * Applies an answer to a request that was sent at `sentAt`.
+     *
+     * @param leftMs how much longer the target is cold by its own statement, in milliseconds; `undefined` if it doesn't say so
+     */
+    answered(target: WarmingTarget, sentAt: number, leftMs: number | undefined): void {
+        if (this.warmupOf(target) === undefined || (leftMs === undefined && !this.known.has(target.id))) {
+            return;
+        }
+        this.update(target, "answer", known => {
+            const now = this.options.clock.monotonicMs();
+            known.failures = known.failures.filter(({ from, to }) => from <= sentAt || now - to < DISPROOF_DELAY_MS);
+            if (leftMs === undefined || target.startedAtMs < known.startedAtMs) {
+                return;
+            }
+            if (sentAt > Math.max(known.evidenceAt, known.restartReadAt, known.failures.at(-1)?.to ?? -Infinity)) {
+                known.entryUntil = -Infinity;
+                known.restartReadAt = -Infinity;
+                known.failures = [];
+                known.statedUntil = now + leftMs;
+            } else {
+                known.statedUntil = Math.max(known.statedUntil, now + leftMs);
+            }
+        });
+    }
+
+    /**
+     * Counts a connection to a target that was refused or reset.
+     *
+     * @param isRefused whether no process listened
+     */
+    connectionFailed(target: WarmingTarget, isRefused: boolean): void {
+        if (this.warmupOf(target) === undefined) {
+            return;
+        }
+        this.update(target, isRefused ? "refused" : "broken", known => {
+            const now = this.options.clock.monotonicMs();
+            const last = known.failures.at(-1);
+            if (last !== undefined && now - last.from < SAME_FAILURE_MS) {
+                last.to = now;
+            } else {
+                known.failures.push({ from: now, to: now });
+            }
+        });
+    }
+
+    /** Applies what another instance has found about a target. */
+    reported(target: WarmingTarget, leftMs: number): void {
+        this.update(target, "report", known => {
+            const now = this.options.clock.monotonicMs();
+            known.statedUntil = Math.max(known.statedUntil, now + leftMs);
+            known.evidenceAt = now;
+        });
+    }
+
+    /** The limit of a cold target; `undefined` for one that is warm. */
+    limitOf(target: WarmingTarget): ColdLimit | undefined {
+        const warmup = this.warmupOf(target);
+        const leftMs = this.leftMs(target, warmup);
+        return warmup === undefined || leftMs <= 0
+            ? undefined
+            : { ...coldRate(this.options.bound, warmup.perSecond, 1 - leftMs / warmup.warmupMs), leftMs };
+    }
+
+    private warmupOf({ service }: WarmingTarget): ServiceWarmup | undefined {
+        return this.options.warmupOf(service);
+    }
+
+    private leftMs({ id }: WarmingTarget, warmup: ServiceWarmup | undefined): number {
+        const known = this.known.get(id);
+        if (known === undefined || warmup === undefined) {
+            return 0;
+        }
+        const restartAt = Math.max(known.restartReadAt, known.failures.at(-1)?.to ?? -Infinity);
+        const until = Math.max(known.entryUntil, known.statedUntil, restartAt + warmup.warmupMs);
+        return Math.max(0, until - this.options.clock.monotonicMs());
+    }
+
+    private update(target: WarmingTarget, cause: ColdCause, change: (known: KnownWarmup) => void): void {
+        const warmup = this.warmupOf(target);
+        const wasCold = this.leftMs(target, warmup) > 0;
+        const known = this.known.get(target.id) ?? this.add(target);
+        if (warmup !== undefined) {
+            const oldest = this.options.clock.monotonicMs() - warmup.warmupMs;
+            known.failures = known.failures.filter(({ to }) => to >= oldest);
+        }
+        change(known);
+        const leftMs = this.leftMs(target, warmup);
+        if (!wasCold && leftMs > 0) {
+            this.options.turnedCold?.(target, cause, leftMs);
+        }
+    }
+
+    private add({ id, startedAtMs }: WarmingTarget): KnownWarmup {
+        const [first] = this.known.keys();
+        if (this.known.size >= MAX_TARGETS) {
+            this.known.delete(first);
+        }
+        const never = -Infinity;
+        const known: KnownWarmup = {
+            startedAtMs,
+            entryLeftMs: 0,
+            entryUntil: never,
+            statedUntil: never,
+            restartReadAt: never,
+            failures: [],
+            evidenceAt: never,
+        };
+        this.known.set(id, known);
+        return known;
+    }
+}
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -54,7 +54,7 @@
     },
     limit_permits_total: {
         type: "counter",
-        help: "Requests for a target with a stated limit, by `result`: `admitted`, `refused`, or `unanswered` when no instance admits.",
+        help: "Requests for a target that is cold or has stated a limit, by `result`: `admitted`, `refused`, or `unanswered` when no instance admits.",
         labels: ["service", "result"],
     },
     target_statements_total: {
@@ -67,6 +67,16 @@
         help: "Requests per second that the target states that it takes from all instances together; infinite once it states none.",
         labels: ["service", "target"],
     },
+    cold_targets: {
+        type: "gauge",
+        help: "Targets of the service that count as cold, so that the rate of their requests is bounded.",
+        labels: ["service"],
+    },
+    targets_turned_cold_total: {
+        type: "counter",
+        help: "Targets that have turned cold, by how this instance noticed it (`cause`): `entry`, `answer`, `restart` (an entry of a later start), `refused` or `broken` (a connection that a restart would explain), or `report` of another instance.",
+        labels: ["service", "cause"],
+    },
     attempt_failures_total: {
         type: "counter",
         help: "Requests sent to a target, or to be sent, that got no complete answer, by the kind of failure (`type`) and whether they were sent.",
--- a/src/request/forwardFields.ts
+++ b/src/request/forwardFields.ts
@@ -26,8 +26,10 @@
     targetLatencyMs: z.number().min(0),
     /** Whether the request may run more than once. */
     isIdempotent: z.boolean(),
-    /** Whether the stated limit of the target has admitted it. */
+    /** Whether the limit of the target has admitted it. */
     isAdmitted: z.boolean(),
+    /** Time for which the permit of a cold target may be used once the request has arrived, in milliseconds; otherwise missing. */
+    permitMs: z.number().min(0).optional(),
 });
 /** What an instance decides about a request that it forwards. */
 export type ForwardFields = z.infer<typeof forwardFieldsSchema>;
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -2,7 +2,7 @@
 import type { Header } from "../connection/peerProtocol.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Permit } from "../process/gateway/limitExchange.js";
-import type { StatedLimit } from "../process/gateway/targetIntake.js";
+import type { TargetLimit } from "../process/gateway/warmupLimit.js";
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import { maxIdleMs, RUN_OUT_MS } from "./attemptLimits.js";
@@ -28,11 +28,13 @@
     closed(): Refusal | undefined;
     isQuarantined(call: GatewayCall): boolean;
     /** Asks whether a request may be sent to a target with a limit; see `GatewayServices`. */
-    permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation;
+    permit(target: GatewayTarget, limit: TargetLimit, callback: (permit: Permit) => void): TimerCancellation;
     /** Headers for a target: those of the caller and those required by the target's protocol. */
     targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
     factsOf(status: number, headers: Header[]): AnswerFacts;
     answerStated(target: GatewayTarget, facts: AnswerFacts, sentAt: number): void;
+    /** Monotonic time in milliseconds since which input that is read now may have waited. */
+    unreadSince?(): number;
     addressLost(target: GatewayTarget): void;
     brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
     /** Called when a connection to a target couldn't be established. */
@@ -61,6 +63,8 @@
     private isDone = false;
     private isUnderWay = false;
     private readonly dispose: TimerCancellation[] = [];
+    /** Monotonic time in milliseconds until which the permit of a cold target may be used; `undefined` without one. */
+    private permitUntil: number | undefined;
     /** Ends the observation of the direct path. */
     private endPath = () => undefined as void;
 
@@ -84,6 +88,10 @@
             return;
         }
         this.target = target;
+        if (this.fields.permitMs !== undefined) {
+            const readSince = Math.min(this.call.arrivedAt, this.services.unreadSince?.() ?? Infinity);
+            this.permitUntil = readSince + this.fields.permitMs;
+        }
         const refusal = this.refusalNow(target);
         if (refusal !== undefined) {
             this.refuse(refusal);
@@ -141,7 +149,8 @@
     /** Sends the request to its target, if the target has no limit or its limit admits the request. */
     private sendIfAdmitted(target: GatewayTarget): void {
         const { limit } = target;
-        if (limit === undefined || this.fields.isAdmitted) {
+        const isColdUnknown = limit?.cold !== undefined && this.permitUntil === undefined;
+        if (limit === undefined || (this.fields.isAdmitted && !isColdUnknown)) {
             this.send(target);
             return;
         }
@@ -151,7 +160,10 @@
             if (permit.type === "refused") {
                 const text = `Target ${id} takes ${limit.perSecond} requests a second.`;
                 this.refuse(refuse("overloaded", text, permit.retryAfterMs / 1_000));
-            } else if (isSynchronous) {
+                return;
+            }
+            this.permitUntil = permit.usableUntil;
+            if (isSynchronous) {
                 this.send(target);
             } else {
                 this.dispose.push(afterInput(() => this.sendAdmitted(target)));
@@ -257,7 +269,12 @@
                 end: () => this.completed(target),
                 failed: failure => this.failed(target, failure),
             },
-            { fresh: false, maxIdleMs: maxIdleMs(fields.isIdempotent) },
+            {
+                fresh: false,
+                maxIdleMs: maxIdleMs(fields.isIdempotent),
+                mayWrite: () =>
+                    this.permitUntil === undefined ? !target.isCold : clock.monotonicMs() <= this.permitUntil,
+            },
         );
         const limitMs = this.leftMs() + (fields.isIdempotent ? 0 : RUN_OUT_MS);
         this.dispose.push(
@@ -304,6 +321,10 @@
         if (!this.endAttempt()) {
             return;
         }
+        if (failure.type === "permit-expired") {
+            this.refuse(refuse("overloaded", `Target ${target.id} is cold, and ${failure.detail}`, BUSY_PAUSE_S));
+            return;
+        }
         if (this.sentAt === undefined) {
             if (failure.type !== "connection-limit") {
                 this.services.connectionFailed(target, failure);
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -4,6 +4,7 @@
 import type { ForwardingPeer } from "../process/gateway/forwardingPeer.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { PathAttempt } from "../process/gateway/targetReach.js";
+import { FORWARDED_PERMIT_MS } from "../process/gateway/warmupLimit.js";
 import type { Route } from "../version/routeConfig.js";
 import { pauseFor } from "../process/gateway/decideAdmission.js";
 import { maxIdleMs, RUN_OUT_MS } from "./attemptLimits.js";
@@ -56,6 +57,8 @@
     /** Monotonic time in milliseconds; `undefined` until it is sent. */
     sentAt: number | undefined;
     loadAtStart: number;
+    /** Monotonic time in milliseconds until which its permit may be used; `undefined` without one for a cold target. */
+    usableUntil: number | undefined;
     wasSent: boolean;
     hasEnded: boolean;
     /** The instance through which it is sent; `undefined` on the direct path. */
@@ -308,28 +311,29 @@
 
     /** Sends the request to a target, if the target has no limit or its limit admits the request. */
     private sendIfAdmitted(target: GatewayTarget): void {
-        if (target.limit === undefined) {
+        const { limit } = target;
+        if (limit === undefined) {
             this.send(target);
             return;
         }
         this.isWaitingForPermit = true;
         let isSynchronous = true;
-        const cancel = this.services.permit(target, target.limit, permit => {
+        const cancel = this.services.permit(target, limit, permit => {
             this.isWaitingForPermit = false;
             if (permit.type === "refused") {
                 this.limited.set(target, permit.retryAfterMs);
                 this.place();
             } else if (isSynchronous) {
-                this.send(target);
+                this.send(target, permit.usableUntil);
             } else {
-                this.dispose.push(afterInput(() => this.sendAdmitted(target)));
+                this.dispose.push(afterInput(() => this.sendAdmitted(target, permit.usableUntil)));
             }
         });
         isSynchronous = false;
         this.dispose.push(cancel);
     }
 
-    private sendAdmitted(target: GatewayTarget): void {
+    private sendAdmitted(target: GatewayTarget, usableUntil?: number): void {
         if (this.isDone || this.attempt !== undefined) {
             return;
         }
@@ -341,7 +345,7 @@
             this.place();
             return;
         }
-        this.send(target);
+        this.send(target, usableUntil);
     }
 
     private waitForOwner(maxWaitMs: number): void {
@@ -374,7 +378,11 @@
         this.dispose.push(afterInput(() => this.place()));
     }
 
-    private send(target: GatewayTarget): void {
+    /**
+     * @param usableUntil monotonic time in milliseconds until which the permit of a cold target may be used; `undefined` if the
+     *   target wasn't cold when the request was placed
+     */
+    private send(target: GatewayTarget, usableUntil?: number): void {
         const { clock } = this.services;
         const { call } = this;
         const startedAt = clock.monotonicMs();
@@ -394,6 +402,7 @@
             startedAt,
             sentAt: undefined,
             loadAtStart,
+            usableUntil,
             wasSent: false,
             hasEnded: false,
             peer,
@@ -486,17 +495,26 @@
             },
         };
         const { isIdempotent } = this;
+        // The target may have turned cold, or the permit have expired, while the connection was established.
+        const mayWrite = (latest: number | undefined) =>
+            latest === undefined ? !target.isCold : clock.monotonicMs() <= latest;
         attempt.sent =
             peer === undefined
-                ? target.connections.send(request, answer, { fresh: false, maxIdleMs: maxIdleMs(isIdempotent) })
-                : peer.send(request, this.forwardFields(target), answer);
+                ? target.connections.send(request, answer, {
+                      fresh: false,
+                      maxIdleMs: maxIdleMs(isIdempotent),
+                      mayWrite: () => mayWrite(usableUntil),
+                  })
+                : peer.send(request, this.forwardFields(target, usableUntil), answer, () =>
+                      mayWrite(usableUntil === undefined ? undefined : usableUntil - FORWARDED_PERMIT_MS),
+                  );
         if (isIdempotent) {
             this.watchSilence(attempt);
         }
     }
 
     /** What the instance through which the request is sent has to know. */
-    private forwardFields({ listed: { entry }, limit }: GatewayTarget): ForwardFields {
+    private forwardFields({ listed: { entry }, limit }: GatewayTarget, usableUntil?: number): ForwardFields {
         return {
             target: entry.id,
             startedAtMs: entry.startedAtMs,
@@ -505,6 +523,7 @@
             targetLatencyMs: this.route.targetLatencyMs,
             isIdempotent: this.isIdempotent,
             isAdmitted: limit !== undefined,
+            permitMs: usableUntil === undefined ? undefined : FORWARDED_PERMIT_MS,
         };
     }
 
@@ -699,6 +718,13 @@
     private attemptFailed(attempt: Attempt, failure: TargetFailure): void {
         const { target } = attempt;
         attempt.record.end = `${failure.type}: ${failure.detail}`;
+        if (failure.type === "permit-expired") {
+            if (attempt.usableUntil !== undefined) {
+                this.limited.set(target, this.pauseSeconds() * 1_000);
+            }
+            this.next(attempt, "not-sent");
+            return;
+        }
         if (attempt.peer !== undefined) {
             this.forwardingFailed(attempt, attempt.peer, failure);
             return;
--- a/src/request/gatewayServices.ts
+++ b/src/request/gatewayServices.ts
@@ -4,7 +4,7 @@
 import type { ForwardingPeer } from "../process/gateway/forwardingPeer.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Permit } from "../process/gateway/limitExchange.js";
-import type { StatedLimit } from "../process/gateway/targetIntake.js";
+import type { TargetLimit } from "../process/gateway/warmupLimit.js";
 import type { Route } from "../version/routeConfig.js";
 import type { AttemptEnd, NextStep, RetryCause } from "./decideAfterAttempt.js";
 import type { AnswerFacts, CallerEnd, GatewayCall } from "./gatewayCall.js";
@@ -66,7 +66,7 @@
      * Asks whether a request may be sent to a target with a limit, and calls back once, also before it returns. The returned
      * function cancels this.
      */
-    permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation;
+    permit(target: GatewayTarget, limit: TargetLimit, callback: (permit: Permit) => void): TimerCancellation;
     /** Whether a target still takes a request whose send was delayed. */
     takes(target: GatewayTarget, call: GatewayCall): boolean;
     /** Called with what a target's answer to a request that was sent at `sentAt` states; see `TargetIntake`. */
