Assign keys to cold targets only where no warm one can have them

Cause: a target that has just started got keys at once, and its limit refused their callers.

Change: keys go to warm targets, unless these have more than twice their share of the load among all targets. Where every target is cold, as after the start of the whole system, all keys are assigned at once as before. Cold targets keep the keys that they have, and those without keys are filled once they are warm.

--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -142,7 +142,7 @@
              * Relative capacity of a target by its slots and speed, and the ratio of its running and waiting requests to
              * its slots.
              */
-            measure: (target: DirectoryTarget) => { capacity: number; pressure: number };
+            measure: (target: DirectoryTarget) => Pick<PlannedTarget, "capacity" | "pressure"> & { isCold?: boolean };
             /** Load of each key. */
             weights: () => ArrayLike<number>;
             /** Called when a target states in an answer that it leaves. */
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -134,7 +134,10 @@
             lease: this.lease,
             targets: () => [...targets.directory.all()].filter(({ entry }) => entry.service === service),
             allTargets: () => targets.directory.all(),
-            measure: listed => targets.view(listed).measure(admitter.limitOf(listed.entry)),
+            measure: listed => {
+                const target = targets.view(listed);
+                return { ...target.measure(admitter.limitOf(listed.entry)), isCold: target.isCold };
+            },
             weights: () => load.weights(service),
             leavingStated,
             addressLost: listed => this.addressLost(listed),
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -20,6 +20,8 @@
      * them; without keys it is assigned one, whose grant shows whether it can be reached again.
      */
     isFailing?: boolean;
+    /** Whether it is cold. It is assigned further keys only if no warm target can have them, or those are clearly overloaded. */
+    isCold?: boolean;
 }
 
 /** Planned change of the owner of keys. `source` is `undefined` for keys without an owner. */
@@ -56,12 +58,22 @@
 const MIN_BALANCE_MOVES = 6;
 /** Minimum load of a move for balance, as a share of the receiver's fair share; less isn't worth the wait. */
 const MIN_MOVED_SHARE = 0.09;
+/**
+ * Ratio of the load of the least loaded warm target to its share among all targets, cold ones included, from which cold targets get
+ * keys. The loss of one of three failure domains gives the others a ratio of 1.5, which they can bear until the targets that return
+ * are warm; only the loss of more than half of the capacity exceeds 2.
+ */
+const COLD_RELIEF_RATIO = 2;
 
 interface Holding {
     target: PlannedTarget;
     ranges: readonly KeyRange[];
     load: number;
     fairLoad: number;
+    /** Share of the load that it would have among all targets that can receive keys, cold ones included. */
+    sharedLoad: number;
+    /** Whether it is cold while a warm target could have keys. */
+    isHeldBack: boolean;
 }
 
 /** Cumulative load of keys, so that the load of a range is a single subtraction. */
@@ -116,16 +128,27 @@
 }
 
 /** Whether a target may be assigned further keys, as far as others could have them as well. */
-const canGain = ({ target }: Holding): boolean => target.canReceive && target.isFailing !== true;
+const canGain = ({ target, isHeldBack }: Holding): boolean =>
+    target.canReceive && target.isFailing !== true && !isHeldBack;
 
-const leastLoaded = (holdings: readonly Holding[]): Holding | undefined => {
-    const receivers = holdings.filter(({ target }) => target.canReceive);
-    const reached = receivers.filter(holding => canGain(holding));
-    return (reached.length > 0 ? reached : receivers).reduce<Holding | undefined>(
+/** Whether a cold target may be assigned further keys where the warm ones are clearly overloaded. */
+const canRelieve = ({ target, isHeldBack }: Holding): boolean =>
+    target.canReceive && target.isFailing !== true && isHeldBack;
+
+const lowestLoad = (holdings: readonly Holding[]): Holding | undefined =>
+    holdings.reduce<Holding | undefined>(
         (best, holding) =>
             best === undefined || holding.load / holding.fairLoad < best.load / best.fairLoad ? holding : best,
         undefined,
     );
+
+const leastLoaded = (holdings: readonly Holding[]): Holding | undefined => {
+    const receivers = holdings.filter(({ target }) => target.canReceive);
+    const warm = lowestLoad(receivers.filter(canGain));
+    if (warm !== undefined && warm.load <= warm.sharedLoad * COLD_RELIEF_RATIO) {
+        return warm;
+    }
+    return lowestLoad(receivers.filter(canRelieve)) ?? warm ?? lowestLoad(receivers);
 };
 
 /** Splits keys that need a new owner into pieces that fill the least loaded targets first. */
@@ -141,7 +164,9 @@
         if (receiver === undefined) {
             return moves;
         }
-        const room = Math.max(receiver.fairLoad - receiver.load, receiver.fairLoad / 4);
+        // Beyond that load, a warm target leaves keys to cold ones.
+        const fullLoad = Math.min(receiver.fairLoad, receiver.sharedLoad * COLD_RELIEF_RATIO);
+        const room = Math.max(fullLoad - receiver.load, fullLoad / 4);
         const to = loads.lastKeyWithin(from, range.to, room);
         receiver.load += loads.of(from, to);
         moves.push({ from, to, source, target: receiver.target.id });
@@ -268,7 +293,11 @@
  */
 const relieve = (holdings: readonly Holding[], loads: KeyLoads, maxMoves: number): KeyMove[] => {
     const moves: KeyMove[] = [];
-    const receivers = new Set(holdings.filter(holding => canGain(holding) && holding.target.pressure < HIGH_PRESSURE));
+    const receivers = new Set(
+        holdings.filter(
+            holding => (canGain(holding) || canRelieve(holding)) && holding.target.pressure < HIGH_PRESSURE,
+        ),
+    );
     for (const holding of byRelativeLoad(holdings.filter(isOverloaded))) {
         while (moves.length < maxMoves && holding.load > holding.fairLoad * OVERLOAD_RATIO) {
             const receiver = leastLoaded([...receivers]);
@@ -367,18 +396,30 @@
 }): KeyMove[] => {
     const { ranges, targets, loads, balance, underWay = 0 } = input;
     const receivers = targets.filter(({ canReceive }) => canReceive);
-    const capacity = receivers.reduce((sum, target) => sum + target.capacity, 0);
-    if (capacity === 0) {
+    const capacityOf = (counted: readonly PlannedTarget[]) => counted.reduce((sum, target) => sum + target.capacity, 0);
+    const totalCapacity = capacityOf(receivers);
+    if (totalCapacity === 0) {
         return [];
     }
     const rangesOf = new Map<string, KeyRange[]>();
     ranges.forEach(range => rangesOf.set(ownerName(range), [...(rangesOf.get(ownerName(range)) ?? []), range]));
-    const holdings: Holding[] = targets.map(target => ({
-        target,
-        ranges: rangesOf.get(processName(target)) ?? [],
-        load: 0,
-        fairLoad: target.canReceive ? (loads.total * target.capacity) / capacity : 0,
-    }));
+    const hasWarm = receivers.some(({ isCold, isFailing }) => isCold !== true && isFailing !== true);
+    const isHeldBack = ({ isCold }: PlannedTarget) => hasWarm && isCold === true;
+    // A cold target without keys gets none for now, so the others share the load among them.
+    const takesPart = (target: PlannedTarget) => !isHeldBack(target) || rangesOf.has(processName(target));
+    const capacity = capacityOf(receivers.filter(takesPart));
+    const holdings: Holding[] = targets.map(target => {
+        const sharedLoad = target.canReceive ? (loads.total * target.capacity) / totalCapacity : 0;
+        const fairLoad = target.canReceive ? (loads.total * target.capacity) / capacity : 0;
+        return {
+            target,
+            ranges: rangesOf.get(processName(target)) ?? [],
+            load: 0,
+            fairLoad: takesPart(target) ? fairLoad : sharedLoad,
+            sharedLoad,
+            isHeldBack: isHeldBack(target),
+        };
+    });
     const byProcess = new Map(holdings.map(holding => [processName(holding.target), holding]));
     const ownerOf = (range: KeyRange): Holding | undefined => byProcess.get(ownerName(range));
     ranges.forEach(range => {
