Give the cold targets of a domain without a warm one their share

Cause: targets with a limit are used only where the others can't serve a caller, so after a whole domain has come back, all its load would go to the other domains for the time of its warm-up.

Change: cold targets of such a domain compete with the others until their limits refuse. Other cold targets are used like targets with stated limits.

--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -163,18 +163,37 @@
 
     /** Places a request at one of some targets that take it; `undefined` if their limits admit none, or there are none. */
     private placeAmong(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
-        const placement = this.choose(
-            targets.filter(({ limit }) => limit === undefined),
-            query,
-        );
+        const unlimited = targets.filter(({ limit }) => limit === undefined);
+        const preferred =
+            unlimited.length === targets.length ? targets : [...unlimited, ...this.ofColdDomains(targets, query)];
+        const placement = this.choose(preferred, query);
         if (placement?.type === "target") {
             return placement;
         }
-        // Targets with limits are in need, so they are used only where the others can't serve the caller.
+        // Targets with limits are in need or cold, so they are used only where the others can't serve the caller.
         const admitting = targets.filter(target => target.limit !== undefined && !query.limited.has(target));
         return this.choose(admitting, query) ?? placement;
     }
 
+    /**
+     * Cold targets of failure domains without a warm one, as after such a domain was lost and has come back. They compete with the
+     * targets of the other domains for as many requests as their limits admit; otherwise all load would go to these.
+     */
+    private ofColdDomains(targets: readonly GatewayTarget[], query: PlacementQuery): GatewayTarget[] {
+        const warmDomains = new Set(
+            this.view
+                .targets(query.service)
+                .filter(target => !target.isCold)
+                .map(({ listed }) => listed.entry.domain),
+        );
+        return targets
+            .filter(
+                ({ listed, limit }) =>
+                    limit?.cold !== undefined && limit.stated === undefined && !warmDomains.has(listed.entry.domain),
+            )
+            .filter(target => !query.limited.has(target));
+    }
+
     /** Chooses among targets any of which may run a request; `undefined` if there are none. */
     private choose(targets: readonly GatewayTarget[], query: PlacementQuery): Placement | undefined {
         const { route } = query;
@@ -200,7 +219,7 @@
             // The delay is the caller's turn, so it has no jitter.
             return {
                 forMs: turnMs,
-                detail: `Target ${target.id} takes ${target.limit?.perSecond ?? 0} requests a second.`,
+                detail: `Target ${target.id} takes ${Math.round(10 * (target.limit?.perSecond ?? 0)) / 10} requests a second.`,
             };
         }
         const intake = this.intakeOf(target, query.call);
