Report connections that failed as after a restart to all instances

Cause: when a target restarts so fast that no connection is refused, only the instances with requests under way notice it, and the others send without a permit until they read the entry or an answer.

Change: a reset connection makes the target cold for 2.5 s at all instances, unless it answers a request from before the reset. The holder of the lease passes on at most 30 of these reports a second and 120 at once.

--- /dev/null
+++ b/src/process/gateway/__tests__/warmupWatch.test.ts
@@ -0,0 +1,163 @@
+import { ManualClock } from "../../../../test/support/manualClock.js";
+import { WarmupWatch, type ColdCause } from "../warmupWatch.js";
+
+const TARGET = { id: "t1", service: "stock", startedAtMs: 1 };
+const WARMUP_MS = 10_000;
+
+const createWatch = (perSecond = 4) => {
+    const clock = new ManualClock();
+    clock.advance(1_000);
+    const causes: ColdCause[] = [];
+    const watch = new WarmupWatch({
+        clock,
+        bound: { overage: 1.5, slack: 8 },
+        warmupOf: () => (perSecond > 0 ? { warmupMs: WARMUP_MS, perSecond } : undefined),
+        turnedCold: (_, cause) => causes.push(cause),
+    });
+    const read = (warmupLeftMs: number, startedAtMs = 1) => watch.entryRead({ ...TARGET, startedAtMs, warmupLeftMs });
+    const answer = (sentAt: number, leftMs?: number) => watch.answered(TARGET, sentAt, leftMs);
+    const leftMs = () => watch.limitOf(TARGET)?.leftMs ?? 0;
+    return { clock, watch, causes, read, answer, leftMs };
+};
+
+describe("a target that starts", () => {
+    it("is cold for the time in its entry, from when that was read", () => {
+        const { clock, causes, read, leftMs } = createWatch();
+        read(5_000);
+        clock.advance(4_999);
+        expect(leftMs()).toBe(1);
+        clock.advance(1);
+        expect(leftMs()).toBe(0);
+        expect(causes).toEqual(["entry"]);
+    });
+
+    // Guards against targets that turn cold each time that all entries are listed.
+    it("isn't cold again because the same entry is listed again", () => {
+        const { clock, read, leftMs } = createWatch();
+        read(5_000);
+        clock.advance(60_000);
+        read(5_000);
+        expect(leftMs()).toBe(0);
+    });
+
+    // Guards against an entry that was written some time after the start and says nothing of the warm-up.
+    it("is cold for the whole time if its start is later than one known before", () => {
+        const { clock, causes, read, leftMs } = createWatch();
+        read(0);
+        clock.advance(60_000);
+        read(0, 2);
+        expect(leftMs()).toBe(WARMUP_MS);
+        expect(causes).toEqual(["restart"]);
+    });
+
+    it("isn't bounded in a service without a warm-up rate", () => {
+        const { watch, read, answer, leftMs } = createWatch(0);
+        read(5_000);
+        answer(1_000, 5_000);
+        watch.connectionFailed(TARGET, true);
+        expect(leftMs()).toBe(0);
+    });
+});
+
+describe("the answers of a target", () => {
+    it("say how much longer it is cold, also less than its entry", () => {
+        const { clock, causes, read, answer, leftMs } = createWatch();
+        read(0);
+        answer(1_000, 8_000);
+        expect(leftMs()).toBe(8_000);
+        clock.advance(100);
+        read(9_000);
+        clock.advance(100);
+        answer(1_150, 3_000);
+        expect(leftMs()).toBe(3_000);
+        answer(1_150, 0);
+        expect(leftMs()).toBe(0);
+        expect(causes).toEqual(["answer"]);
+    });
+
+    // Guards against an answer of the process before the restart that ends the warm-up of the one after it.
+    it("end nothing that was learned after their request was sent", () => {
+        const { clock, read, answer, leftMs } = createWatch();
+        read(0);
+        clock.advance(1_000);
+        read(0, 2);
+        answer(1_500, 0);
+        expect(leftMs()).toBe(WARMUP_MS);
+        read(9_000, 2);
+        answer(2_000, 100);
+        expect(leftMs()).toBeGreaterThan(8_000);
+    });
+
+    // Guards against the end of the bound by an answer of a target that doesn't state its warm-up.
+    it("end nothing if they don't mention it", () => {
+        const { clock, read, answer, leftMs } = createWatch();
+        read(5_000);
+        clock.advance(100);
+        answer(1_050);
+        expect(leftMs()).toBe(4_900);
+    });
+});
+
+describe("a target whose connections fail", () => {
+    // Guards against a rate without bound at a target that has restarted before its new entry is read.
+    it("is cold for the whole warm-up from the last failure on", () => {
+        const { clock, watch, causes, read, leftMs } = createWatch();
+        read(0);
+        watch.connectionFailed(TARGET, true);
+        clock.advance(50);
+        watch.connectionFailed(TARGET, false);
+        clock.advance(1_000);
+        expect(leftMs()).toBe(WARMUP_MS - 1_000);
+        expect(causes).toEqual(["refused"]);
+        clock.advance(WARMUP_MS);
+        expect(leftMs()).toBe(0);
+    });
+
+    // Guards against a bound on targets that reset connections because they are full.
+    it("isn't cold if it answers a request that was sent before the failure, for it hasn't restarted", () => {
+        const { clock, watch, read, answer, leftMs } = createWatch();
+        read(0);
+        const sentAt = clock.monotonicMs();
+        clock.advance(100);
+        watch.connectionFailed(TARGET, false);
+        clock.advance(300);
+        answer(sentAt);
+        expect(leftMs()).toBe(0);
+    });
+
+    it("is cold if that answer may have been written before the failure, or was sent after it", () => {
+        const { clock, watch, read, answer, leftMs } = createWatch();
+        read(0);
+        const sentAt = clock.monotonicMs();
+        clock.advance(100);
+        watch.connectionFailed(TARGET, false);
+        clock.advance(100);
+        answer(sentAt);
+        expect(leftMs()).toBe(WARMUP_MS - 100);
+        clock.advance(1_000);
+        answer(clock.monotonicMs() - 500);
+        expect(leftMs()).toBe(WARMUP_MS - 1_100);
+    });
+
+    it("is cold because of an earlier failure that the answer doesn't disprove", () => {
+        const { clock, watch, read, answer, leftMs } = createWatch();
+        read(0);
+        watch.connectionFailed(TARGET, false);
+        clock.advance(500);
+        const sentAt = clock.monotonicMs();
+        clock.advance(100);
+        watch.connectionFailed(TARGET, false);
+        clock.advance(400);
+        answer(sentAt);
+        expect(leftMs()).toBe(WARMUP_MS - 1_000);
+    });
+});
+
+describe("a target that another instance has found cold", () => {
+    it("is cold here, and isn't reported again", () => {
+        const { watch, causes, leftMs } = createWatch();
+        watch.reported(TARGET, 4_000);
+        watch.reported(TARGET, 3_000);
+        expect([leftMs(), causes]).toEqual([4_000, ["report"]]);
+    });
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -230,7 +230,7 @@
             limitEnded: ({ id, startedAtMs }, before) =>
                 this.targets.get(id, startedAtMs)?.listed.intake.endLimit(before),
             others: () => this.relay.peers().map(({ address }) => address),
-            coldReported: (target, leftMs) => this.warmups.reported(target, leftMs),
+            coldReported: (...report) => this.warmups.reported(...report),
         });
         this.peers.handle(this.limits.receive);
         this.leaving = new LeavingExchange({
@@ -634,8 +634,8 @@
         this.options
             .loggers("dispatch")
             .info(`Target ${id} is cold; the rate of its requests is bounded.`, { service, cause, leftMs });
-        if (cause === "answer" || cause === "refused") {
-            this.limits.turnedCold(target, leftMs);
+        if (cause === "answer" || cause === "refused" || cause === "broken") {
+            this.limits.turnedCold(target, leftMs, cause === "broken");
         }
     }
 
--- a/src/process/gateway/limitExchange.ts
+++ b/src/process/gateway/limitExchange.ts
@@ -1,5 +1,6 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { LimitAdmitter, LimitAnswer, LimitedTarget } from "./limitAdmitter.js";
+import { LimitBucket } from "./limitBucket.js";
 import { decodeLimitMessage, encodeLimitMessage, type LimitKnowledge, type LimitMessage } from "./limitMessage.js";
 import type { DatagramHandler, PeerAddress } from "./peerPort.js";
 import type { WarmingTarget } from "./warmupWatch.js";
@@ -15,6 +16,13 @@
 /** Maximum time for which requests are refused without a question, in milliseconds; the limit may have changed. */
 const MAX_CLOSED_MS = 1_000;
 
+/**
+ * Suspicions of restarts that the instance that admits passes on, per second and at once. Full targets reset connections, too, and
+ * each of these messages goes to all instances.
+ */
+const SUSPICIONS_PER_SECOND = 30;
+const SUSPICION_BURST = 120;
+
 /** Decision about one request, with the delay in milliseconds after which its caller may return. */
 export type Permit =
     | {
@@ -54,6 +62,8 @@
     /** Requests that were refused without a question since the last one, by target. */
     private readonly refused = new Map<string, number>();
     private questions = 0;
+    /** Meters the suspicions that are passed on. */
+    private readonly suspicions: LimitBucket;
 
     constructor(
         private readonly options: {
@@ -71,9 +81,11 @@
             /** Addresses of the other instances, as far as this one knows them while it admits. */
             others?: () => PeerAddress[];
             /** Called when another instance has found that a target has turned cold. */
-            coldReported?: (target: WarmingTarget, leftMs: number) => void;
+            coldReported?: (target: WarmingTarget, leftMs: number, isSuspected: boolean) => void;
         },
-    ) {}
+    ) {
+        this.suspicions = new LimitBucket(options.clock, SUSPICIONS_PER_SECOND, SUSPICION_BURST);
+    }
 
     /**
      * Calls back once, at the latest after `ANSWER_TIMEOUT_MS`; returns a function that cancels this. A permit that is
@@ -114,9 +126,9 @@
     }
 
     /** Passes on to all instances that a target has turned cold, so that none sends to it without a permit. */
-    turnedCold({ id, service, startedAtMs }: WarmingTarget, leftMs: number): void {
+    turnedCold({ id, service, startedAtMs }: WarmingTarget, leftMs: number, isSuspected = false): void {
         const { isAdmitting, admittingAddress, send } = this.options;
-        const message = { type: "limit-cold" as const, id, service, startedAtMs, leftMs };
+        const message = { type: "limit-cold" as const, id, service, startedAtMs, leftMs, isSuspected };
         if (isAdmitting()) {
             this.passOn({ ...message, isPassedOn: true });
             return;
@@ -127,7 +139,10 @@
         }
     }
 
-    private passOn(message: LimitMessage): void {
+    private passOn(message: Extract<LimitMessage, { type: "limit-cold" }>): void {
+        if (message.isSuspected && this.suspicions.take().type === "refused") {
+            return;
+        }
         const content = encodeLimitMessage(message);
         this.options.others?.().forEach(address => this.options.send(address, content));
     }
@@ -152,7 +167,7 @@
                 }
                 break;
             case "limit-cold":
-                this.options.coldReported?.(message, message.leftMs);
+                this.options.coldReported?.(message, message.leftMs, message.isSuspected);
                 if (!message.isPassedOn && isAdmitting()) {
                     this.passOn({ ...message, isPassedOn: true });
                 }
--- a/src/process/gateway/limitMessage.ts
+++ b/src/process/gateway/limitMessage.ts
@@ -41,6 +41,8 @@
         service: z.string(),
         startedAtMs: z.number(),
         leftMs: z.number().min(0).max(MAX_COLD_MS),
+        /** Whether it is only known that a connection to it was reset. */
+        isSuspected: z.boolean(),
         /** Whether the instance that admits has passed it on. */
         isPassedOn: z.boolean(),
     }),
--- a/src/process/gateway/warmupWatch.ts
+++ b/src/process/gateway/warmupWatch.ts
@@ -10,6 +10,13 @@
 const DISPROOF_DELAY_MS = 250;
 /** Failures of connections within this time count as one, in milliseconds. */
 const SAME_FAILURE_MS = 100;
+/**
+ * Time for which a target is cold whose connections have failed at another instance, in milliseconds; a new entry is read within it.
+ * It is short because targets also reset connections for other reasons.
+ */
+export const SUSPICION_MS = 2_500;
+/** Time by which the warm-up has to be longer than it was known to be for the other instances to be told, in milliseconds. */
+const NEWS_MS = 1_000;
 /** Number of targets that are remembered; those that were added first are forgotten first. */
 const MAX_TARGETS = 5_000;
 
@@ -38,8 +45,8 @@
     statedUntil: number;
     /** Time at which a later start was read than the one known before. */
     restartReadAt: number;
-    /** Spans of failed connections that a restart would explain, oldest first. */
-    failures: { from: number; to: number }[];
+    /** Spans of failed connections that a restart would explain, here or at another instance, oldest first. */
+    failures: { from: number; to: number; isReported: boolean }[];
     /** Time of the last evidence of a warm-up other than an answer. */
     evidenceAt: number;
 }
@@ -66,7 +73,7 @@
             bound: WarmupBound;
             /** Warm-up of a service; `undefined` if its cold targets get any rate. */
             warmupOf: (service: string) => ServiceWarmup | undefined;
-            /** Called when a target has become cold. */
+            /** Called when a target has become cold, or states that it is so for longer than was known. */
             turnedCold?: (target: WarmingTarget, cause: ColdCause, leftMs: number) => void;
         },
     ) {}
@@ -132,18 +139,26 @@
         this.update(target, isRefused ? "refused" : "broken", known => {
             const now = this.options.clock.monotonicMs();
             const last = known.failures.at(-1);
-            if (last !== undefined && now - last.from < SAME_FAILURE_MS) {
+            if (last !== undefined && !last.isReported && now - last.from < SAME_FAILURE_MS) {
                 last.to = now;
             } else {
-                known.failures.push({ from: now, to: now });
+                known.failures.push({ from: now, to: now, isReported: false });
             }
         });
     }
 
-    /** Applies what another instance has found about a target. */
-    reported(target: WarmingTarget, leftMs: number): void {
+    /**
+     * Applies what another instance has found about a target.
+     *
+     * @param isSuspected whether it only knows that a connection was reset
+     */
+    reported(target: WarmingTarget, leftMs: number, isSuspected = false): void {
         this.update(target, "report", known => {
             const now = this.options.clock.monotonicMs();
+            if (isSuspected) {
+                known.failures.push({ from: now, to: now, isReported: true });
+                return;
+            }
             known.statedUntil = Math.max(known.statedUntil, now + leftMs);
             known.evidenceAt = now;
         });
@@ -167,14 +182,18 @@
         if (known === undefined || warmup === undefined) {
             return 0;
         }
-        const restartAt = Math.max(known.restartReadAt, known.failures.at(-1)?.to ?? -Infinity);
-        const until = Math.max(known.entryUntil, known.statedUntil, restartAt + warmup.warmupMs);
+        const until = Math.max(
+            known.entryUntil,
+            known.statedUntil,
+            known.restartReadAt + warmup.warmupMs,
+            ...known.failures.map(({ to, isReported }) => to + (isReported ? SUSPICION_MS : warmup.warmupMs)),
+        );
         return Math.max(0, until - this.options.clock.monotonicMs());
     }
 
     private update(target: WarmingTarget, cause: ColdCause, change: (known: KnownWarmup) => void): void {
         const warmup = this.warmupOf(target);
-        const wasCold = this.leftMs(target, warmup) > 0;
+        const earlierLeftMs = this.leftMs(target, warmup);
         const known = this.known.get(target.id) ?? this.add(target);
         if (warmup !== undefined) {
             const oldest = this.options.clock.monotonicMs() - warmup.warmupMs;
@@ -182,7 +201,8 @@
         }
         change(known);
         const leftMs = this.leftMs(target, warmup);
-        if (!wasCold && leftMs > 0) {
+        const isNews = cause === "answer" && leftMs > earlierLeftMs + NEWS_MS;
+        if ((earlierLeftMs <= 0 && leftMs > 0) || isNews) {
             this.options.turnedCold?.(target, cause, leftMs);
         }
     }
