--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -200,7 +200,7 @@
                 controller = started;
                 if (abortReason === undefined && options.maySend?.() === false) {
                     isWithheld = true;
-                    abortReason = "the target may get no more requests";
+                    abortReason = "it may not be sent any more";
                 }
                 if (abortReason !== undefined) {
                     started.abort(new Error(abortReason));
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -30,6 +30,8 @@
         limit: number | undefined;
         /** Whether the path to the target is cut. */
         isCut: boolean;
+        /** Whether its warm-up bounds the requests that it may get. */
+        isCold: boolean;
     }>;
     retries: Iterable<{ service: string; available: number }>;
 }
@@ -63,6 +65,8 @@
     /** Failure domains that were evacuated, and those of each service from which keys were moved. */
     private readonly evacuated = new Set<string>();
     private readonly evacuatedKeys = new Map<string, Pick<EvacuatedKeys, "service" | "domain">>();
+    /** Services that have had cold targets. */
+    private readonly warmed = new Set<string>();
     /** Services whose keys this instance has assigned. */
     private readonly assigned = new Set<string>();
 
@@ -133,7 +137,9 @@
         }
         this.collectEvacuations(state);
         const cutPaths = new Map<string, number>();
-        for (const { service, target, inFlight, limit, isCut } of targets) {
+        const coldTargets = new Map<string, number>();
+        for (const { service, target, inFlight, limit, isCut, isCold } of targets) {
+            coldTargets.set(service, (coldTargets.get(service) ?? 0) + (isCold ? 1 : 0));
             cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
@@ -141,6 +147,12 @@
                 this.metrics.gauge("target_stated_limit", { service, target }).set(limit ?? Infinity);
             }
         }
+        for (const [service, cold] of coldTargets) {
+            if (cold > 0 || this.warmed.has(service)) {
+                this.warmed.add(service);
+                this.metrics.gauge("cold_targets", { service }).set(cold);
+            }
+        }
         cutPaths.forEach((cut, service) => this.metrics.gauge("cut_paths", { service }).set(cut));
         for (const { service, available } of retries) {
             this.metrics.gauge("retry_budget_tokens", { service }).set(available);
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -155,7 +155,7 @@
              * Relative capacity of a target by its slots and speed, and the ratio of its running and waiting requests to
              * its slots.
              */
-            measure: (target: DirectoryTarget) => { capacity: number; pressure: number };
+            measure: (target: DirectoryTarget) => Pick<PlannedTarget, "capacity" | "pressure"> & { isCold?: boolean };
             /** The evacuation of a failure domain, while one is in force. */
             evacuation?: (domain: string) => Evacuation | undefined;
             /** Load of each key. */
--- a/src/process/gateway/keyAssigners.ts
+++ b/src/process/gateway/keyAssigners.ts
@@ -140,7 +140,10 @@
             lease: this.lease,
             targets: () => [...targets.directory.all()].filter(({ entry }) => entry.service === service),
             allTargets: () => targets.directory.all(),
-            measure: listed => targets.view(listed).measure(admitter.limitOf(listed.entry)),
+            measure: listed => {
+                const target = targets.view(listed);
+                return { ...target.measure(admitter.limitOf(listed.entry)), isCold: target.isCold };
+            },
             weights: () => load.weights(service),
             evacuation: domain => targets.directory.evacuationOf(domain),
             leavingStated,
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -2,7 +2,7 @@
 import type { Header } from "../connection/peerProtocol.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Permit } from "../process/gateway/limitExchange.js";
-import type { StatedLimit } from "../process/gateway/targetIntake.js";
+import type { TargetLimit } from "../process/gateway/warmupLimit.js";
 import type { Clock, TimerCancellation } from "../process/runtime/clock.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import { maxIdleMs, RUN_OUT_MS } from "./attemptLimits.js";
@@ -28,11 +28,13 @@
     closed(): Refusal | undefined;
     isQuarantined(call: GatewayCall): boolean;
     /** Asks whether a request may be sent to a target with a limit; see `GatewayServices`. */
-    permit(target: GatewayTarget, limit: StatedLimit, callback: (permit: Permit) => void): TimerCancellation;
+    permit(target: GatewayTarget, limit: TargetLimit, callback: (permit: Permit) => void): TimerCancellation;
     /** Headers for a target: those of the caller and those required by the target's protocol. */
     targetHeaders(call: GatewayCall, target: string, leftMs: number): string[];
     factsOf(status: number, headers: Header[]): AnswerFacts;
     answerStated(target: GatewayTarget, facts: AnswerFacts, sentAt: number): void;
+    /** Monotonic time in milliseconds since which input that is read now may have waited. */
+    unreadSince?(): number;
     addressLost(target: GatewayTarget): void;
     brokeWhileRunning(call: GatewayCall, target: GatewayTarget): void;
     /** Called when a connection to a target couldn't be established. */
@@ -61,6 +63,8 @@
     private isDone = false;
     private isUnderWay = false;
     private readonly dispose: TimerCancellation[] = [];
+    /** Monotonic time in milliseconds until which the permit of a cold target may be used; `undefined` without one. */
+    private permitUntil: number | undefined;
     /** Ends the observation of the direct path. */
     private endPath = () => undefined as void;
 
@@ -84,6 +88,10 @@
             return;
         }
         this.target = target;
+        if (this.fields.permitMs !== undefined) {
+            const readSince = Math.min(this.call.arrivedAt, this.services.unreadSince?.() ?? Infinity);
+            this.permitUntil = readSince + this.fields.permitMs;
+        }
         const refusal = this.refusalNow(target);
         if (refusal !== undefined) {
             this.refuse(refusal);
@@ -138,6 +146,13 @@
         return refuse("overloaded", `All connections to target ${id} are in use.`, BUSY_PAUSE_S);
     }
 
+    /** Refusal of a request whose connection was established too late for its permit, or for the evacuation of its target. */
+    private refusalOfWithheld(target: GatewayTarget): Refusal {
+        return this.isBeforeEvacuation(target)
+            ? refuse("overloaded", `Target ${target.id} is cold, and its permit has expired.`, BUSY_PAUSE_S)
+            : this.refusalOfEvacuated(target);
+    }
+
     /** Not `no-owner`, which would have the other instance take the target for one that may have ended. */
     private refusalOfEvacuated({ id }: GatewayTarget): Refusal {
         return refuse("overloaded", `Target ${id} is evacuated.`, BUSY_PAUSE_S * (0.7 + 0.6 * Math.random()));
@@ -146,7 +161,8 @@
     /** Sends the request to its target, if the target has no limit or its limit admits the request. */
     private sendIfAdmitted(target: GatewayTarget): void {
         const { limit } = target;
-        if (limit === undefined || this.fields.isAdmitted) {
+        const isColdUnknown = limit?.cold !== undefined && this.permitUntil === undefined;
+        if (limit === undefined || (this.fields.isAdmitted && !isColdUnknown)) {
             this.send(target);
             return;
         }
@@ -156,7 +172,10 @@
             if (permit.type === "refused") {
                 const text = `Target ${id} takes ${limit.perSecond} requests a second.`;
                 this.refuse(refuse("overloaded", text, permit.retryAfterMs / 1_000));
-            } else if (isSynchronous) {
+                return;
+            }
+            this.permitUntil = permit.usableUntil;
+            if (isSynchronous) {
                 this.send(target);
             } else {
                 this.dispose.push(afterInput(() => this.sendAdmitted(target)));
@@ -198,7 +217,7 @@
         }
         const arrivedAt = this.call.arrivedAt - this.fields.ageMs;
         const intake = target.intakeFor(arrivedAt, this.services.drainMs);
-        if (intake.type === "evacuated" || !this.maySend(target)) {
+        if (intake.type === "evacuated" || !this.isBeforeEvacuation(target)) {
             return this.refusalOfEvacuated(target);
         }
         if (intake.type === "leaving") {
@@ -211,11 +230,18 @@
     }
 
     /** Whether an evacuation of the target, known here or at the instance that forwards the request, lets it be sent. */
-    private maySend(target: GatewayTarget): boolean {
+    private isBeforeEvacuation(target: GatewayTarget): boolean {
         const elapsedMs = this.services.clock.monotonicMs() - this.call.arrivedAt;
         return target.sendsForMs() !== 0 && elapsedMs < (this.fields.sendWithinMs ?? Infinity);
     }
 
+    /** Whether the request may be sent once its connection is established. */
+    private maySend(target: GatewayTarget): boolean {
+        const isPermitted =
+            this.permitUntil === undefined ? !target.isCold : this.services.clock.monotonicMs() <= this.permitUntil;
+        return isPermitted && this.isBeforeEvacuation(target);
+    }
+
     /** Milliseconds that are left of the time that the forwarding instance allows. */
     private leftMs(): number {
         const { arrivedAt, deadlineMs = 0 } = this.call;
@@ -320,7 +346,7 @@
         }
         if (this.sentAt === undefined) {
             if (failure.type === "withheld") {
-                this.refuse(this.refusalOfEvacuated(target));
+                this.refuse(this.refusalOfWithheld(target));
                 return;
             }
             if (failure.type !== "connection-limit") {
