Count only moves that are made against the limit for returning targets

A returning target that was nearly filled used up the limit with pieces too small to be moved, so 2 moves were made at a time instead of 9; and one that was filled partly counted as served.

--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -65,6 +65,9 @@
 /** Minimum load of a move for balance, as a share of the receiver's fair share; less isn't worth the wait. */
 const MIN_MOVED_SHARE = 0.09;
 
+/** Ratio of load to fair share up to which such a target is assigned keys; what is missing then isn't worth a move. */
+const RETURN_RATIO = FILL_RATIO - MIN_MOVED_SHARE;
+
 interface Holding {
     target: PlannedTarget;
     ranges: readonly KeyRange[];
@@ -196,17 +199,22 @@
     );
     for (const holding of holdings) {
         const { fairLoad } = holding;
-        if (!canGain(holding) || holding.load >= fairLoad * IDLE_RATIO) {
+        const isReturning = holding.target.isReturning === true;
+        if (!canGain(holding) || holding.load >= fairLoad * (isReturning ? RETURN_RATIO : IDLE_RATIO)) {
             continue;
         }
-        const isReturning = holding.target.isReturning === true;
-        while (holding.load < fairLoad * FILL_RATIO && moves.length < maxMoves && (!isReturning || returnMoves-- > 0)) {
+        while (holding.load < fairLoad * FILL_RATIO && moves.length < maxMoves) {
+            if (isReturning && (returnMoves <= 0 || holding.load >= fairLoad * RETURN_RATIO)) {
+                break;
+            }
             const source = sources.shift();
             if (source === undefined) {
                 return moves;
             }
             const wanted = Math.min(source.load * FILL_SHARE, fairLoad * FILL_RATIO - holding.load);
-            moves.push(...movePiece(source, holding, wanted, loads));
+            const added = movePiece(source, holding, wanted, loads);
+            moves.push(...added);
+            returnMoves -= isReturning ? added.length : 0;
         }
     }
     return moves;
