Clamp stated warm-ups, and notice connections refused at a forwarding instance

Cause: a target that states an endless warm-up made the questions about it unreadable, and an unsigned answer could end the bound. An instance that sends a forwarded request and is refused didn't count the target as cold.

Change: a stated warm-up counts as an hour at most, only a signed answer may end one, and refused connections are noticed where the paths of both kinds of requests meet.

--- a/src/process/gateway/__tests__/warmupWatch.test.ts
+++ b/src/process/gateway/__tests__/warmupWatch.test.ts
@@ -161,3 +161,10 @@
         expect([leftMs(), causes]).toEqual([4_000, ["report"]]);
     });
 });
+
+// Guards against a message that can't be decoded, and a target that is bounded for good, because of an odd value.
+test("a statement of a very long warm-up counts as an hour", () => {
+    const { answer, leftMs } = createWatch();
+    answer(1_000, 1e300);
+    expect(leftMs()).toBe(3_600_000);
+});
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -365,12 +365,7 @@
             peerTo: (...way) => this.paths.peerTo(...way),
             notForwarded: (...notForwarded) => this.paths.notForwarded(...notForwarded),
             forwardingLost: peer => peer.suspect(),
-            connectionFailed: (target, failure) => {
-                if (failure.refused || failure.type === "broken") {
-                    this.warmups.connectionFailed(target.listed.entry, failure.refused);
-                }
-                this.paths.connectionFailed(target, failure);
-            },
+            connectionFailed: (target, failure) => this.paths.connectionFailed(target, failure),
             ended: (request, outcome) => {
                 this.requests.delete(request);
                 if (outcome.type === "answered") {
@@ -394,6 +389,11 @@
             relay: () => this.relay,
             suspects: () => this.suspects,
             unreadSince: () => this.stalls.unreadSince(),
+            connectionFailed: ({ listed }, { refused, type }) => {
+                if (refused || type === "broken") {
+                    this.warmups.connectionFailed(listed.entry, refused);
+                }
+            },
             services: { ...this.services, unreadSince: () => this.stalls.unreadSince(), drainMs: options.drainMs },
         });
         this.stalls = new StallWatch(clock, stallMs => {
@@ -569,7 +569,8 @@
         if (answeredBy !== undefined && answeredBy !== target.id) {
             return;
         }
-        this.warmups.answered(target.listed.entry, sentAt, warmupLeftMs);
+        // Only the target itself may end its warm-up.
+        this.warmups.answered(target.listed.entry, sentAt, signed || warmupLeftMs !== 0 ? warmupLeftMs : undefined);
         const { intake } = target.listed;
         if (leaving) {
             this.leavingStated(target.listed);
--- a/src/process/gateway/gatewayPaths.ts
+++ b/src/process/gateway/gatewayPaths.ts
@@ -50,6 +50,8 @@
             relay: () => StoreRelay;
             suspects: () => CrashSuspects;
             unreadSince: () => number;
+            /** Called when no connection to a target could be established. */
+            connectionFailed?: (target: GatewayTarget, failure: TargetFailure) => void;
             services: Omit<
                 ForwardedServices,
                 "clock" | "closed" | "ended" | "target" | "isQuarantined" | "connectionFailed"
@@ -162,7 +164,9 @@
     }
 
     /** Handles an attempt for which no connection to the target could be established. */
-    connectionFailed(target: GatewayTarget, { refused }: TargetFailure): void {
+    connectionFailed(target: GatewayTarget, failure: TargetFailure): void {
+        const { refused } = failure;
+        this.options.connectionFailed?.(target, failure);
         this.reach.connectionFailed(target);
         const suspects = this.options.suspects();
         if (refused && suspects.isConcerned(target.id)) {
--- a/src/process/gateway/limitMessage.ts
+++ b/src/process/gateway/limitMessage.ts
@@ -2,7 +2,7 @@
 import { parseJson } from "../runtime/parseJson.js";
 
 /** Maximum time for which a message may have a target count as cold, in milliseconds, an hour. */
-const MAX_COLD_MS = 3_600_000;
+export const MAX_COLD_MS = 3_600_000;
 
 const limitKnowledgeSchema = z.object({
     /** Identifier and start time of the target's process in Unix milliseconds. */
--- a/src/process/gateway/warmupLimit.ts
+++ b/src/process/gateway/warmupLimit.ts
@@ -14,6 +14,8 @@
 const ARRIVAL_MS = 50;
 /** Factor on the rate for clocks of two instances that differ by 2 %, and for times that are rounded. */
 const CLOCK_MARGIN = 0.98;
+/** Least rate, in requests a second, for a bound that allows nothing; no caller would learn of the end of the warm-up. */
+const MIN_PER_SECOND = 0.1;
 /** Part of the bound that may be admitted at once. */
 const BURST_SHARE = 1 / 7;
 /** Share of the rate that a target gets at the start of its warm-up. More than half of the bound is used even then. */
@@ -62,7 +64,7 @@
     const spreadMs = PERMIT_ANSWER_MS + PERMIT_CONNECT_MS + ARRIVAL_MS;
     const highest = Math.min(bound, (CLOCK_MARGIN * (allowed + 1 - burst)) / (1 + spreadMs / 1_000));
     const share = INITIAL_SHARE + (1 - INITIAL_SHARE) * Math.min(1, Math.max(0, progress));
-    return { perSecond: highest * share, burst };
+    return { perSecond: Math.max(MIN_PER_SECOND, highest * share), burst };
 };
 
 /** The lower one of a stated limit and that of a cold target; `undefined` if there is neither. */
--- a/src/process/gateway/warmupWatch.ts
+++ b/src/process/gateway/warmupWatch.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../runtime/clock.js";
+import { MAX_COLD_MS } from "./limitMessage.js";
 import type { TargetEntry } from "./targetEntry.js";
 import type { WarmupBound } from "./warmupBound.js";
 import { coldRate, type ColdLimit } from "./warmupLimit.js";
@@ -104,12 +105,13 @@
     /**
      * Applies an answer to a request that was sent at `sentAt`.
      *
-     * @param leftMs how much longer the target is cold by its own statement, in milliseconds; `undefined` if it doesn't say so
+     * @param statedLeftMs how much longer the target is cold by its own statement, in milliseconds; `undefined` if it doesn't say so
      */
-    answered(target: WarmingTarget, sentAt: number, leftMs: number | undefined): void {
-        if (this.warmupOf(target) === undefined || (leftMs === undefined && !this.known.has(target.id))) {
+    answered(target: WarmingTarget, sentAt: number, statedLeftMs: number | undefined): void {
+        if (this.warmupOf(target) === undefined || (statedLeftMs === undefined && !this.known.has(target.id))) {
             return;
         }
+        const leftMs = statedLeftMs === undefined ? undefined : Math.min(MAX_COLD_MS, statedLeftMs);
         this.update(target, "answer", known => {
             const now = this.options.clock.monotonicMs();
             known.failures = known.failures.filter(({ from, to }) => from <= sentAt || now - to < DISPROOF_DELAY_MS);
@@ -188,7 +190,7 @@
             known.restartReadAt + warmup.warmupMs,
             ...known.failures.map(({ to, isReported }) => to + (isReported ? SUSPICION_MS : warmup.warmupMs)),
         );
-        return Math.max(0, until - this.options.clock.monotonicMs());
+        return Math.min(MAX_COLD_MS, Math.max(0, until - this.options.clock.monotonicMs()));
     }
 
     private update(target: WarmingTarget, cause: ColdCause, change: (known: KnownWarmup) => void): void {
