Share the rule for starts of lower priorities

The gateway's admission needs the rule that the admission queue of a target has. It stands in a module of its own now (startShare.ts); behaviour is the same.

--- a/src/process/dispatch/admissionQueue.ts
+++ b/src/process/dispatch/admissionQueue.ts
@@ -2,6 +2,7 @@
 import { refuse, type Refusal } from "../../request/refusal.js";
 import { FairShare, type FlowItem } from "./fairShare.js";
 import { IndexedHeap, type HeapItem } from "../runtime/indexedHeap.js";
+import { isLowerStartDue, STARTS_PER_LOWER_START } from "./startShare.js";
 
 /** Priorities, most urgent first. */
 export const PRIORITIES = ["high", "normal", "bulk"] as const;
@@ -12,8 +13,6 @@
 export const DEFAULT_MAX_WAITING = 1_024;
 /** Maximum number of callers tracked per priority; callers beyond it share one flow of the fair queue. */
 export const DEFAULT_MAX_CALLERS = 256;
-/** A lower priority with waiting requests gets one of this many starts, so that higher priorities can't starve it. */
-export const STARTS_PER_LOWER_START = 10;
 /** An overload of a priority ends when fewer requests than this wait per slot. */
 const OVERLOAD_END_ROUNDS = 2;
 /** Share of the time until its deadline that a request waits during an overload before it is refused. */
@@ -254,10 +253,7 @@
     private nextLevel(): PriorityLevel<Work> | undefined {
         let next: PriorityLevel<Work> | undefined;
         for (const level of this.levels) {
-            if (
-                level.share.size > 0 &&
-                (next === undefined || level.higherPriorityStarts >= STARTS_PER_LOWER_START - 1)
-            ) {
+            if (level.share.size > 0 && (next === undefined || isLowerStartDue(level.higherPriorityStarts))) {
                 next = level;
             }
         }
