Admit by priority and work, and let requests wait for room

A less urgent route with a long target latency filled the queue of a target until more urgent routes of the same service were refused. A request now uses the queue only as far as the more urgent routes that are asked for still meet their target latency; each priority keeps a share of the starts (decideRoom.ts, serviceDemand.ts). A request whose key has one owner waits at its instance if room is expected in time, by priority and deadline (roomQueue.ts, targetRooms.ts, roomWait.ts), and is placed anew after the wait. Retry-After follows from the target's backlog and the callers refused before, and is later for less urgent routes.

A service whose routes share one priority keeps its rule; a request waits there only for a target that is full.

--- a/src/process/gateway/decideAdmission.ts
+++ b/src/process/gateway/decideAdmission.ts
@@ -53,16 +53,20 @@
     }
     const latencyLeftMs = Math.max(0, targetLatencyMs - elapsedMs);
     const isWaiting = expectedMs > serviceMs;
-    const isRetry = elapsedMs > 0;
-    const allowedMs = isRetry
-        ? leftMs * LEFT_SHARE
-        : Math.min(leftMs * LEFT_SHARE, latencyLeftMs * TARGET_LATENCY_SHARE);
+    const allowedMs = allowedTimeMs(leftMs, latencyLeftMs, elapsedMs > 0);
     if (input.isFull !== true && (expectedMs <= allowedMs || (!isWaiting && expectedMs <= leftMs))) {
         return { type: "admit" };
     }
     return { type: "refuse", pauseMs: pauseFor(latencyLeftMs, serviceMs) };
 };
 
+/**
+ * Expected time up to which a request is sent to a busy target, in milliseconds: a first attempt has to be answered within its
+ * target latency, a retry before its deadline.
+ */
+export const allowedTimeMs = (leftMs: number, latencyLeftMs: number, isRetry: boolean): number =>
+    isRetry ? leftMs * LEFT_SHARE : Math.min(leftMs * LEFT_SHARE, latencyLeftMs * TARGET_LATENCY_SHARE);
+
 /** Pause after which a refused caller can still be answered within its target latency. */
 export const pauseFor = (latencyLeftMs: number, serviceMs: number): number =>
     Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, (latencyLeftMs - serviceMs) / 2));
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -46,6 +46,7 @@
 import { isAccepting, type DirectoryTarget } from "./targetDirectory.js";
 import type { StatedLimit, TargetIntake } from "./targetIntake.js";
 import { TargetPlacement } from "./targetPlacement.js";
+import { TargetRooms } from "./targetRooms.js";
 import type { WarmupBound } from "./warmupBound.js";
 
 /**
@@ -139,6 +140,7 @@
     private readonly paths: GatewayPaths;
     private readonly retries = new Map<string, RetryBudget>();
     private readonly split = new WeightedSplit();
+    private readonly rooms: TargetRooms;
     private readonly placement: TargetPlacement;
     private readonly ownersFollower: TableFollower;
     /** Finds out for all followers when the store answers again after a failure. */
@@ -173,6 +175,7 @@
                 this.server.setLimits(lookup.config.limits);
                 this.paths.setLimits(lookup.config.limits);
                 this.split.reset();
+                this.rooms.update(lookup.config.routes);
                 this.assigners.update(lookup.config.services);
             },
         });
@@ -231,6 +234,7 @@
             unanswered: () => this.assigners.lease.lookAgain(),
         });
         this.peers.handle(this.leaving.receive);
+        this.rooms = new TargetRooms({ clock, random: Math.random });
         this.placement = new TargetPlacement({
             lookup: () => this.config.current,
             keyMap: service => this.owners.of(service),
@@ -243,6 +247,7 @@
             isOutOfReach: target => this.paths.isOutOfReach(target),
             crossings: target => this.paths.crossings(target),
             ownersAreFresh: () => this.ownersFollower.isFresh,
+            rooms: this.rooms,
             random: Math.random,
         });
         const { tables } = platform;
@@ -328,6 +333,13 @@
             permit: (target, limit, callback) => this.permit(target, limit, callback),
             takes: (target, call) => this.placement.takes(target, call),
             answerStated: (target, facts, sentAt) => this.answerStated(target, facts, sentAt),
+            rooms: {
+                join: (target, request) => this.rooms.join(target, request),
+                wake: target => this.rooms.wake(target),
+                started: (service, route) => this.rooms.started(service, route),
+                answered: (request, target, answer) => this.rooms.answered(request, target, answer),
+                waitEnded: (...ended) => this.observer.roomWaitEnded(...ended),
+            },
             takeRetry: service => {
                 const isGranted = this.retriesOf(service).take();
                 this.retryMeter.budgeted(service, isGranted);
@@ -508,6 +520,7 @@
         const service = this.split.next(route);
         this.retriesOf(service).request();
         this.retryMeter.request(service);
+        this.rooms.demandOf(service).asked(route);
         if (call.key !== undefined && lookup.service(service)?.keyed === true) {
             this.load.record(service, call.key);
         }
@@ -658,6 +671,7 @@
                 isCut: target.reach.isCut,
                 limit: target.limit?.perSecond,
             })),
+            waiting: this.rooms.waitingByService(),
             retries: [...this.retries].map(([service, budget]) => ({ service, available: budget.available() })),
         };
     }
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import type { RequestOutcome, RunningRequest } from "../../request/gatewayServices.js";
+import type { RequestOutcome, RoomWaitResult, RunningRequest } from "../../request/gatewayServices.js";
 import type { Refusal } from "../../request/refusal.js";
 import { countRefusal } from "../observability/countRefusal.js";
 import type { Clock } from "../runtime/clock.js";
@@ -27,6 +27,8 @@
         /** Whether the path to the target is cut. */
         isCut: boolean;
     }>;
+    /** Requests that wait for room at a target, by service. */
+    waiting: Iterable<[service: string, requests: number]>;
     retries: Iterable<{ service: string; available: number }>;
 }
 
@@ -74,6 +76,10 @@
                 break;
             case "refused":
                 this.refused(outcome.refusal, request.service);
+                if (outcome.refusal.type === "overloaded") {
+                    const priority = String(request.route.priority);
+                    this.metrics.counter("shed_requests_total", { service: request.service, priority }).add();
+                }
                 break;
             case "caller-gone":
                 cells.callerGone.add();
@@ -88,6 +94,17 @@
         countRefusal(this.metrics, service, refusal);
     }
 
+    /** Counts a request that has waited for room at a target. */
+    roomWaitEnded(
+        { service, route }: Pick<RunningRequest, "service" | "route">,
+        result: RoomWaitResult,
+        waitedMs: number,
+    ): void {
+        const priority = String(route.priority);
+        this.metrics.counter("room_waits_total", { service, result, priority }).add();
+        this.metrics.summary("room_wait_seconds", { service }).record(waitedMs * 1_000);
+    }
+
     /** Counts a caller that left before a service was chosen for its request. */
     abandoned(): void {
         this.metrics.counter("callers_gone_total", { service: NO_SERVICE, state: "received" }).add();
@@ -134,6 +151,9 @@
             }
         }
         cutPaths.forEach((cut, service) => this.metrics.gauge("cut_paths", { service }).set(cut));
+        for (const [service, requests] of state.waiting) {
+            this.metrics.gauge("room_waiting_requests", { service }).set(requests);
+        }
         for (const { service, available } of retries) {
             this.metrics.gauge("retry_budget_tokens", { service }).set(available);
         }
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -5,11 +5,12 @@
 import type { GatewayCall } from "../../request/gatewayCall.js";
 import type { RouteLookup } from "../../version/routeLookup.js";
 import { chooseTarget, expectedMs, isFull } from "./chooseTarget.js";
-import { decideAdmission } from "./decideAdmission.js";
 import type { Intake } from "./decideIntake.js";
+import { decideRoom, type RoomState } from "./decideRoom.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import type { KeyMap } from "./keyMap.js";
 import { isAccepting } from "./targetDirectory.js";
+import type { TargetRooms } from "./targetRooms.js";
 
 /** Retry pause for callers whose key has no owner, in seconds; a new owner is assigned within a few tenths of a second. */
 const NO_OWNER_PAUSE_S = 0.35;
@@ -27,6 +28,11 @@
 const INITIAL_BULK_ANSWER_KB = 64;
 /** Weight of the newest answer in the mean size. */
 const SIZE_WEIGHT = 0.05;
+/** State of a target for which nothing competes. */
+const UNSHARED: RoomState = {
+    ...{ hasPriorities: false, rivals: [], work: 1, isDue: false },
+    ...{ canWait: false, ahead: 0, refusedBefore: 0 },
+};
 
 /** Chooses targets for requests by what this instance currently knows. */
 export class TargetPlacement {
@@ -50,6 +56,8 @@
             crossings: (target: GatewayTarget) => number | undefined;
             /** Whether the known owners are up to date with the store. */
             ownersAreFresh: () => boolean;
+            /** Competition for the targets; requests neither wait nor give way without it. */
+            rooms?: Pick<TargetRooms, "stateOf" | "heldBack" | "refused">;
             random: () => number;
         },
     ) {}
@@ -227,28 +235,41 @@
     }
 
     private admitOrRefuse(target: GatewayTarget, query: PlacementQuery): Placement {
+        const { rooms, random } = this.view;
+        const { call, route, leftMs, stopsInMs, waitedMs = 0 } = query;
         const candidate = target.candidate();
         const neededMs = expectedMs(candidate);
-        const admission = decideAdmission({
+        const state = rooms?.stateOf(target, query) ?? UNSHARED;
+        const decision = decideRoom({
+            ...state,
+            ...{ leftMs, stopsInMs, waitedMs },
             expectedMs: neededMs,
             serviceMs: candidate.serviceMs,
-            leftMs: query.leftMs,
+            slots: candidate.slots,
             elapsedMs: this.elapsedMs(query),
-            targetLatencyMs: query.route.targetLatencyMs,
-            stopsInMs: query.stopsInMs,
+            targetLatencyMs: route.targetLatencyMs,
+            priority: route.priority,
+            callerLeftMs: leftMs + Math.max(0, (call.deadlineMs ?? 0) - route.timeoutMs),
             isFull: this.hasNoOther(query) && isFull(candidate),
+            random,
         });
-        switch (admission.type) {
-            case "admit":
+        switch (decision.type) {
+            case "send":
                 return { type: "target", target };
             case "stopping":
                 return { type: "refuse", refusal: refuseStopping() };
-            case "refuse":
-                return this.refusal(
-                    "overloaded",
-                    `Target ${target.id} needs about ${Math.round(neededMs)} ms.`,
-                    admission.pauseMs / 1_000,
-                );
+            case "wait":
+                rooms?.heldBack(query);
+                return { type: "room", target, maxWaitMs: decision.forMs };
+            case "refuse": {
+                rooms?.heldBack(query);
+                rooms?.refused(target, decision.delayMs);
+                const text = `Target ${target.id} needs about ${Math.round(neededMs)} ms.`;
+                const delayS = decision.delayMs / 1_000;
+                return decision.isFinal
+                    ? { type: "refuse", refusal: refuse("overloaded", text, delayS) }
+                    : this.refusal("overloaded", text, delayS);
+            }
         }
     }
 
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -52,6 +52,26 @@
         help: "Requests sent to a target although their caller may have left over half a second before, by why that was read late: `stall` or `paused`.",
         labels: ["service", "cause"],
     },
+    room_waiting_requests: {
+        type: "gauge",
+        help: "Requests that wait at a gateway for room at a busy target.",
+        labels: ["service"],
+    },
+    room_waits_total: {
+        type: "counter",
+        help: "Requests that waited for room at a busy target, by priority and by how the wait ended (`result`): `sent`, `refused`, `stopped` with the instance, or `caller-gone`.",
+        labels: ["service", "result", "priority"],
+    },
+    room_wait_seconds: {
+        type: "summary",
+        help: "Time for which a request waited for room at busy targets.",
+        labels: ["service"],
+    },
+    shed_requests_total: {
+        type: "counter",
+        help: "Requests that a gateway refused because targets are busy, by the priority of their route.",
+        labels: ["service", "priority"],
+    },
     limit_permits_total: {
         type: "counter",
         help: "Requests for a target with a stated limit, by `result`: `admitted`, `refused`, or `unanswered` when no instance admits.",
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -30,6 +30,7 @@
 import { maxOwnerWaitMs } from "./maxOwnerWaitMs.js";
 import { delayField, refuse, type Refusal } from "./refusal.js";
 import { refuseStopping } from "./refuseStopping.js";
+import { RoomWait } from "./roomWait.js";
 
 /** Time reserved for sending the answer to the caller, in milliseconds; the final answer is due that much earlier. */
 const REPLY_MARGIN_MS = 15;
@@ -111,6 +112,7 @@
     private cancelOwnerWait: TimerCancellation = () => undefined;
     private ownerWaitEndsAt: number | undefined;
     private isWaitingForOwner = false;
+    private readonly roomWait: RoomWait;
     /** Why the last attempt that was sent has not answered the request. */
     private retryCause: RetryCause = "lost";
     /** Last refusal by a target or by placement, used if the request ends without an answer. */
@@ -125,6 +127,7 @@
     ) {
         this.allowedMs = Math.min(route.timeoutMs, (call.deadlineMs ?? Infinity) - REPLY_MARGIN_MS);
         this.dueAt = call.arrivedAt + this.allowedMs;
+        this.roomWait = new RoomWait({ call, route, service }, services);
     }
 
     /** Time left until the final answer is due, in milliseconds. */
@@ -186,12 +189,16 @@
         if (this.isWaitingForConnection) {
             return "connection-wait";
         }
+        if (this.roomWait.isWaiting) {
+            return "room-wait";
+        }
         return this.isWaitingForOwner ? "owner-wait" : "placement";
     }
 
     /** Starts an attempt if none is under way and the limits of the request allow another one. */
     private place(): void {
-        if (this.isDone || this.attempt !== undefined || this.isWaitingForPermit || this.isWaitingForConnection) {
+        const isWaiting = this.isWaitingForPermit || this.isWaitingForConnection || this.roomWait.isWaiting;
+        if (this.isDone || this.attempt !== undefined || isWaiting) {
             return;
         }
         if (this.leftMs() <= 0) {
@@ -217,6 +224,9 @@
             case "wait":
                 this.waitForOwner(placement.maxWaitMs);
                 return;
+            case "room":
+                this.roomWait.wait(placement.target, placement.maxWaitMs, this.leftMs(), () => this.place());
+                return;
             case "refuse":
                 this.lastRefusal = placement.refusal;
                 this.finishUnanswered();
@@ -228,7 +238,8 @@
         const { call, route, service, tried, unreached, notOwners, limited } = this;
         const leftMs = this.leftMs();
         const stopsInMs = this.stopsAt === Infinity ? undefined : leftMs;
-        return { call, route, service, tried, unreached, notOwners, limited, leftMs, stopsInMs };
+        const { waitedMs } = this.roomWait;
+        return { call, route, service, tried, unreached, notOwners, limited, leftMs, stopsInMs, waitedMs };
     }
 
     /** Chooses a target; one to which all connections are in use only if there is no other. */
@@ -401,6 +412,7 @@
             held: this.services.heldAnswers.create(),
         };
         this.attempt = attempt;
+        this.roomWait.ended("sent");
         this.forwardings += peer === undefined ? 0 : 1;
         target.started();
         let head: AnswerHead | undefined;
@@ -419,6 +431,8 @@
                 this.sends++;
                 if (this.sends > 1) {
                     this.services.retried(this.service, this.retryCause);
+                } else {
+                    this.services.rooms.started(this.service, this.route);
                 }
                 this.tried.add(target);
             },
@@ -458,7 +472,7 @@
                     return;
                 }
                 if (this.stream !== undefined) {
-                    this.recordLatency(attempt);
+                    this.recordLatency(attempt, facts);
                     if (!this.isDone) {
                         this.stream.end();
                         this.finish({ type: "answered", status: head?.status ?? 0 });
@@ -615,12 +629,17 @@
         }
         attempt.record.durationMs = this.services.clock.monotonicMs() - attempt.startedAt;
         attempt.target.ended();
+        this.services.rooms.wake(attempt.target);
         return true;
     }
 
-    private recordLatency(attempt: Attempt): void {
+    private recordLatency(attempt: Attempt, facts: AnswerFacts | undefined): void {
         const { target, startedAt, loadAtStart, peer } = attempt;
-        target.answered(this.services.clock.monotonicMs() - startedAt, loadAtStart, peer !== undefined);
+        const durationMs = this.services.clock.monotonicMs() - startedAt;
+        target.answered(durationMs, loadAtStart, peer !== undefined);
+        if (facts !== undefined) {
+            this.services.rooms.answered(this, target, { durationMs, loadAtStart, facts });
+        }
     }
 
     /** Handles a complete answer. */
@@ -671,7 +690,7 @@
             this.next(attempt, "failed", () => this.deliver(this.withDelay(head, facts), chunks));
             return;
         }
-        this.recordLatency(attempt);
+        this.recordLatency(attempt, facts);
         this.deliver(head, chunks);
     }
 
@@ -878,6 +897,7 @@
     private finish(outcome: RequestOutcome): void {
         this.isDone = true;
         this.cancelOwnerWait();
+        this.roomWait.finish(outcome);
         this.dispose.forEach(cancel => cancel());
         this.services.ended(this, outcome);
     }
--- a/src/request/gatewayServices.ts
+++ b/src/request/gatewayServices.ts
@@ -4,6 +4,7 @@
 import type { ForwardingPeer } from "../process/gateway/forwardingPeer.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { Permit } from "../process/gateway/limitExchange.js";
+import type { WaitingRequest } from "../process/gateway/roomQueue.js";
 import type { StatedLimit } from "../process/gateway/targetIntake.js";
 import type { Route } from "../version/routeConfig.js";
 import type { AttemptEnd, NextStep, RetryCause } from "./decideAfterAttempt.js";
@@ -16,6 +17,8 @@
     | { type: "target"; target: GatewayTarget }
     /** The owner of the key may change; try again when `onOwnerChange` calls back, or after this many milliseconds. */
     | { type: "wait"; maxWaitMs: number }
+    /** Room for the request is expected at this target within this many milliseconds. */
+    | { type: "room"; target: GatewayTarget; maxWaitMs: number }
     | { type: "refuse"; refusal: Refusal };
 
 /** State of a request on which the choice of a target depends. */
@@ -35,6 +38,29 @@
     leftMs: number;
     /** Milliseconds until the instance gives its last answers; missing unless it stops. */
     stopsInMs?: number;
+    /** Milliseconds for which it has waited for room; missing if it can't wait. */
+    waitedMs?: number;
+}
+
+/** How a wait for room ended: with a send, a refusal, the end of the instance, or the departure of the caller. */
+export type RoomWaitResult = "sent" | "refused" | "stopped" | "caller-gone";
+
+/** What requests report of their use of targets, and where they wait for room. */
+export interface RoomServices {
+    /** Adds a request to those that wait for a target. The returned function takes it out. */
+    join(target: GatewayTarget, request: WaitingRequest): TimerCancellation;
+    /** Has the next request that waits for a target placed again, because room may have come. */
+    wake(target: GatewayTarget): void;
+    /** Called when a request is sent for the first time. */
+    started(service: string, route: Route): void;
+    /** Called with the time of an answer. */
+    answered(
+        request: { service: string; route: Route },
+        target: GatewayTarget,
+        answer: { durationMs: number; loadAtStart: number; facts: AnswerFacts },
+    ): void;
+    /** Called when a request that has waited for room waits no more. */
+    waitEnded(request: { service: string; route: Route }, result: RoomWaitResult, waitedMs: number): void;
 }
 
 /** A request of a caller, as its process stops, logs and counts it. */
@@ -71,6 +97,7 @@
     takes(target: GatewayTarget, call: GatewayCall): boolean;
     /** Called with what a target's answer to a request that was sent at `sentAt` states; see `TargetIntake`. */
     answerStated(target: GatewayTarget, facts: AnswerFacts, sentAt: number): void;
+    rooms: RoomServices;
     /** Takes a retry from the budget of the service; `false` if there is none. */
     takeRetry(service: string): boolean;
     /** Called when a request is being sent to a further target. */
@@ -110,7 +137,14 @@
 
 /** What a request was waiting for when its caller left. */
 export type RequestState =
-    "owner-wait" | "limit-wait" | "connection-wait" | "placement" | "connecting" | "at-target" | "forwarding";
+    | "owner-wait"
+    | "limit-wait"
+    | "connection-wait"
+    | "room-wait"
+    | "placement"
+    | "connecting"
+    | "at-target"
+    | "forwarding";
 
 /** How a request ended. */
 export type RequestOutcome =
