--- /dev/null
+++ b/src/process/gateway/__tests__/roomReplay.test.ts
@@ -0,0 +1,86 @@
+import { replayRooms, type KindResult, type RoomKind, type RoomLoad } from "../../../../test/support/roomReplay.js";
+
+/** Two kinds of a keyed service, the less urgent one with a long target latency. */
+const URGENT: RoomKind = {
+    ...{ name: "urgent", ratePerS: 732, workMs: 240, targetLatencyMs: 608, deadlineMs: 5_064, timeoutMs: 2_000 },
+    ...{ priority: 1, valueInTime: 0.98, valueLate: 0.29 },
+};
+const PATIENT: RoomKind = {
+    ...{ name: "patient", ratePerS: 374, workMs: 310, targetLatencyMs: 1_508, deadlineMs: 6_028, timeoutMs: 3_000 },
+    ...{ priority: 2, valueInTime: 0.98, valueLate: 0.44 },
+};
+/** Part of the deployment of 215 targets and 85 instances that is replayed. */
+const SCALE = 1 / 5;
+const scaled = (kind: RoomKind): RoomKind => ({ ...kind, ratePerS: kind.ratePerS * SCALE });
+
+const KEYED: RoomLoad = {
+    ...{ keyed: true, targets: 215 * SCALE, instances: 85 * SCALE, slots: 3, queue: 12 },
+    kinds: [scaled(URGENT), scaled(PATIENT)],
+    durationMs: 14_000,
+    factor: () => 1,
+    hotShare: 0,
+    reportMs: 250,
+};
+const inBurst = (at: number): boolean => at >= 4_000 && at < 10_000;
+const LOADS: Record<string, RoomLoad> = {
+    "a burst of the less urgent kind": {
+        ...KEYED,
+        factor: ({ name }, at) => (name === "patient" && inBurst(at) ? 2.6 : 1),
+    },
+    "a burst of the more urgent kind": {
+        ...KEYED,
+        factor: ({ name }, at) => (name === "urgent" && inBurst(at) ? 2.6 : 1),
+    },
+    "a wave with failure domains out of phase": {
+        ...KEYED,
+        ...{ keyed: false, targets: 49 * SCALE + 0.2, durationMs: 26_000 },
+        kinds: [
+            {
+                ...URGENT,
+                ratePerS: 244,
+                workMs: 96,
+                targetLatencyMs: 404,
+                deadlineMs: 2_526,
+                priority: 0,
+                valueInTime: 3.7,
+                valueLate: 0.45,
+            },
+            {
+                ...PATIENT,
+                ratePerS: 260,
+                workMs: 170,
+                targetLatencyMs: 604,
+                deadlineMs: 3_022,
+                timeoutMs: 2_000,
+                priority: 1,
+                valueInTime: 2.9,
+                valueLate: 0.88,
+            },
+        ].map(scaled),
+        factor: (_, at, domain) => 1.5 + 0.55 * Math.sin((2 * Math.PI * at) / 13_000 + (2 * Math.PI * domain) / 3),
+    },
+    // An owner serves about 8 requests a second.
+    "a key that is asked for at ten times the capacity of its owner": { ...KEYED, hotShare: 0.36 },
+};
+
+describe.each(Object.keys(LOADS))("%s", name => {
+    it("prints", () => {
+        const sum = (hasRooms: boolean) => {
+            const out: Record<string, unknown> = {};
+            for (const seed of [1, 2, 3]) {
+                replayRooms(LOADS[name], seed, hasRooms).forEach((r, k) => {
+                    const o = (out[k] ??= []) as unknown[];
+                    o.push([
+                        r.asked,
+                        (r.served / r.asked).toFixed(3),
+                        (r.inTime / r.asked).toFixed(3),
+                        r.value.toFixed(3),
+                        r.costlyWaits,
+                    ]);
+                });
+            }
+            return out;
+        };
+        console.log(name, "\nearlier", JSON.stringify(sum(false)), "\nrooms", JSON.stringify(sum(true)));
+    });
+});
--- a/src/process/gateway/decideRoom.ts
+++ b/src/process/gateway/decideRoom.ts
@@ -4,11 +4,15 @@
 /** Share of a service's requests from which on a more urgent route keeps its whole room; one that is asked for less keeps a part. */
 const FULL_RESERVE_SHARE = 1 / STARTS_PER_LOWER_START;
 /** Share of the target latency after which a waiting request may use its time left; a refusal then costs its caller. */
-const COSTLY_WAIT_SHARE = 0.125;
+export const COSTLY_WAIT_SHARE = 0.125;
+/** Share of the target latency after which a wait goes on only if room is likely; a refusal then costs nothing yet. */
+const TRIAL_WAIT_SHARE = 0.12;
 /** Least part of its allowed time that a request keeps which needs more work than others of its priority. */
 const MIN_WORK_FACTOR = 0.5;
 /** Share of its time left after which a caller doesn't return, less a margin. */
 const CALLER_LEFT_SHARE = 0.32;
+/** Shortest wait in milliseconds; rounding errors would otherwise make a wait of no time that is repeated. */
+const MIN_WAIT_MS = 1;
 /** Shortest delay of a refused caller, in milliseconds. */
 const MIN_DELAY_MS = 100;
 /** Factor by which the delay grows with each more urgent priority that is asked for. */
@@ -40,6 +44,8 @@
     canWait: boolean;
     /** Number of requests that wait at this instance for the target and go before this one. */
     ahead: number;
+    /** Share of the long waits of the route's priority that ended with a send recently. */
+    waitSuccess: number;
     /** Number of callers that were refused because of the target and haven't been told to return yet. */
     refusedBefore: number;
 }
@@ -94,8 +100,15 @@
         return { type: "send" };
     }
     const latestMs = allowedMs - serviceMs;
-    if (input.canWait && latestMs > 0 && expectedMs + aheadMs <= allowedMs) {
-        return { type: "wait", forMs: latestMs };
+    if (input.canWait && latestMs >= MIN_WAIT_MS && expectedMs + aheadMs <= allowedMs) {
+        const trialMs = targetLatencyMs * TRIAL_WAIT_SHARE - waitedMs;
+        const roomInMs = Math.max(0, expectedMs + aheadMs - roomMs) / input.waitSuccess;
+        if (trialMs >= MIN_WAIT_MS) {
+            return { type: "wait", forMs: Math.min(trialMs, latestMs) };
+        }
+        if (roomInMs <= latestMs) {
+            return { type: "wait", forMs: latestMs };
+        }
     }
     if (!input.hasPriorities) {
         return { type: "refuse", delayMs: pauseFor(latencyLeftMs, serviceMs), isFinal: false };
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -338,7 +338,10 @@
                 wake: target => this.rooms.wake(target),
                 started: (service, route) => this.rooms.started(service, route),
                 answered: (request, target, answer) => this.rooms.answered(request, target, answer),
-                waitEnded: (...ended) => this.observer.roomWaitEnded(...ended),
+                waitEnded: (request, result, waitedMs) => {
+                    this.rooms.waitEnded(request, result === "sent", waitedMs);
+                    this.observer.roomWaitEnded(request, result, waitedMs);
+                },
             },
             takeRetry: service => {
                 const isGranted = this.retriesOf(service).take();
--- a/src/process/gateway/serviceDemand.ts
+++ b/src/process/gateway/serviceDemand.ts
@@ -22,10 +22,16 @@
     /** Decaying numbers of requests and of those that were sent to a target. */
     asked: number;
     started: number;
+    /** Decaying numbers of long waits, by how they ended. */
+    waitsSent: number;
+    waitsRefused: number;
     /** Time that its requests take in a free slot at usual speed. */
     work: DurationEstimate;
 }
 
+const COUNTED_PARTS = ["asked", "started", "waitsSent", "waitsRefused"] as const;
+type CountedPart = (typeof COUNTED_PARTS)[number];
+
 /**
  * What this instance was recently asked for by the routes of one service, what it has started of it, and how much work the requests
  * of each route are.
@@ -69,6 +75,18 @@
         this.higherStarts.set(priority, this.higherStarts.get(priority) ?? 0);
     }
 
+    /** Counts a wait that was so long that a refusal after it costs the caller. */
+    longWaitEnded(route: Route, isSent: boolean): void {
+        this.count(route, isSent ? "waitsSent" : "waitsRefused");
+    }
+
+    /** Share of the long waits of a priority that recently ended with a send; 1 if there were none. */
+    waitSuccess(priority: number): number {
+        const sum = (part: "waitsSent" | "waitsRefused") =>
+            this.total(demand => (demand.route.priority === priority ? demand[part] : 0)) / this.decay.weight();
+        return (sum("waitsSent") + 1) / (sum("waitsSent") + sum("waitsRefused") + 1);
+    }
+
     /** Records the time of an answer in a free slot, in milliseconds at usual speed. */
     worked(route: Route, workMs: number): void {
         this.of(route).work.record(workMs);
@@ -103,20 +121,19 @@
         return isCompared && started / asked < (LEAST_START_SHARE * allStarted) / allAsked;
     }
 
-    private count(route: Route, what: "asked" | "started"): void {
+    private count(route: Route, what: CountedPart): void {
         const demand = this.of(route);
         const factor = this.decay.rescale();
         if (factor !== 1) {
-            this.routes.forEach(each => {
-                each.asked *= factor;
-                each.started *= factor;
-            });
+            this.routes.forEach(each => COUNTED_PARTS.forEach(part => (each[part] *= factor)));
         }
         demand[what] += this.decay.weight();
     }
 
     private of(route: Route): RouteDemand {
-        const demand = this.routes.get(route.name) ?? { route, asked: 0, started: 0, work: new DurationEstimate() };
+        const demand = this.routes.get(route.name) ?? {
+            ...{ route, asked: 0, started: 0, waitsSent: 0, waitsRefused: 0, work: new DurationEstimate() },
+        };
         demand.route = route;
         this.routes.set(route.name, demand);
         return demand;
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -31,7 +31,7 @@
 /** State of a target for which nothing competes. */
 const UNSHARED: RoomState = {
     ...{ hasPriorities: false, rivals: [], work: 1, isDue: false },
-    ...{ canWait: false, ahead: 0, refusedBefore: 0 },
+    ...{ canWait: false, ahead: 0, waitSuccess: 1, refusedBefore: 0 },
 };
 
 /** Chooses targets for requests by what this instance currently knows. */
--- a/src/process/gateway/targetRooms.ts
+++ b/src/process/gateway/targetRooms.ts
@@ -2,7 +2,7 @@
 import type { PlacementQuery } from "../../request/gatewayServices.js";
 import type { Route } from "../../version/routeConfig.js";
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
-import type { RoomState } from "./decideRoom.js";
+import { COSTLY_WAIT_SHARE, type RoomState } from "./decideRoom.js";
 import type { GatewayTarget } from "./gatewayTarget.js";
 import { RoomQueue, type WaitingRequest } from "./roomQueue.js";
 import { ServiceDemand } from "./serviceDemand.js";
@@ -82,6 +82,7 @@
             isDue,
             canWait: waitedMs !== undefined && hasSpace && room?.queue.isFull !== true,
             ahead: isDue ? 0 : (room?.queue.ahead(route.priority, now + leftMs, now) ?? 0),
+            waitSuccess: demand.waitSuccess(route.priority),
             refusedBefore: room?.returnsAt.length ?? 0,
         };
     }
@@ -133,6 +134,13 @@
         this.demandOf(service).started(route);
     }
 
+    /** Counts a request that has waited and waits no more, by whether it was sent. */
+    waitEnded({ service, route }: { service: string; route: Route }, isSent: boolean, waitedMs: number): void {
+        if (waitedMs > route.targetLatencyMs * COSTLY_WAIT_SHARE) {
+            this.demandOf(service).longWaitEnded(route, isSent);
+        }
+    }
+
     /** Learns the work of a route by an answer that didn't wait at its target. */
     answered(
         { service, route }: { service: string; route: Route },
