Replay bursts, a wave and a hot key with and without the rule for rooms

The replay runs TargetPlacement, TargetRooms and GatewayTarget of 17 instances against 43 targets of 3 slots (a fifth of the deployment), where instances learn of each target's load every 0.25 s.

--- a/src/process/gateway/__tests__/roomReplay.test.ts
+++ b/src/process/gateway/__tests__/roomReplay.test.ts
@@ -63,24 +63,50 @@
     "a key that is asked for at ten times the capacity of its owner": { ...KEYED, hotShare: 0.36 },
 };
 
+/** Sums of the results by kind over some seeds. */
+const sumOf = (load: RoomLoad, hasRooms: boolean): Map<string, KindResult> => {
+    const sums = new Map<string, KindResult>();
+    for (const seed of [1, 2, 3]) {
+        for (const [name, { asked, served, inTime, value, costlyWaits }] of replayRooms(load, seed, hasRooms)) {
+            const sum = sums.get(name) ?? { asked: 0, served: 0, inTime: 0, value: 0, costlyWaits: 0 };
+            sums.set(name, {
+                asked: sum.asked + asked,
+                served: sum.served + served,
+                inTime: sum.inTime + inTime,
+                value: (sum.value * sum.asked + value * asked) / (sum.asked + asked),
+                costlyWaits: sum.costlyWaits + costlyWaits,
+            });
+        }
+    }
+    return sums;
+};
+const shareOf = (part: number, { asked }: KindResult): number => part / asked;
+
 describe.each(Object.keys(LOADS))("%s", name => {
-    it("prints", () => {
-        const sum = (hasRooms: boolean) => {
-            const out: Record<string, unknown> = {};
-            for (const seed of [1, 2, 3]) {
-                replayRooms(LOADS[name], seed, hasRooms).forEach((r, k) => {
-                    const o = (out[k] ??= []) as unknown[];
-                    o.push([
-                        r.asked,
-                        (r.served / r.asked).toFixed(3),
-                        (r.inTime / r.asked).toFixed(3),
-                        r.value.toFixed(3),
-                        r.costlyWaits,
-                    ]);
-                });
-            }
-            return out;
-        };
-        console.log(name, "\nearlier", JSON.stringify(sum(false)), "\nrooms", JSON.stringify(sum(true)));
+    const load = LOADS[name];
+    const results = { earlier: sumOf(load, false), rooms: sumOf(load, true) };
+    const of = (rule: "earlier" | "rooms", kind: string) => results[rule].get(kind) as KindResult;
+    const valueOf = (rule: "earlier" | "rooms"): number =>
+        load.kinds.reduce((sum, kind) => {
+            const { asked, value } = of(rule, kind.name);
+            return sum + asked * value * kind.valueInTime;
+        }, 0);
+    const [urgent, patient] = [of("rooms", "urgent"), of("rooms", "patient")];
+
+    it("guards against a more urgent kind that is served less often or earns less than a less urgent one", () => {
+        const served = [urgent, patient].map(result => shareOf(result.served, result));
+        expect(served[0]).toBeGreaterThanOrEqual(served[1] - 0.05);
+        expect(urgent.value).toBeGreaterThanOrEqual(patient.value - 0.15);
+    });
+
+    it("guards against a kind that is served less than a quarter as often as all requests", () => {
+        const all = (urgent.served + patient.served) / (urgent.asked + patient.asked);
+        expect(Math.min(...[urgent, patient].map(result => shareOf(result.served, result)))).toBeGreaterThan(all / 4);
+    });
+
+    it("guards against answers of less value than by the earlier rule", () => {
+        // In a load that all targets can serve, the two rules differ by chance only.
+        const asked = urgent.asked + patient.asked;
+        expect(valueOf("rooms")).toBeGreaterThan(valueOf("earlier") - 2 * Math.sqrt(asked));
     });
 });
--- a/src/process/gateway/decideRoom.ts
+++ b/src/process/gateway/decideRoom.ts
@@ -11,6 +11,8 @@
 const MIN_WORK_FACTOR = 0.5;
 /** Share of its time left after which a caller doesn't return, less a margin. */
 const CALLER_LEFT_SHARE = 0.32;
+/** Exponent on the share of waits that succeed; with 1, a third of the attempts of a kind in a burst waited long in vain. */
+const WAIT_CAUTION = 2;
 /** Shortest wait in milliseconds; rounding errors would otherwise make a wait of no time that is repeated. */
 const MIN_WAIT_MS = 1;
 /** Shortest delay of a refused caller, in milliseconds. */
@@ -102,7 +104,7 @@
     const latestMs = allowedMs - serviceMs;
     if (input.canWait && latestMs >= MIN_WAIT_MS && expectedMs + aheadMs <= allowedMs) {
         const trialMs = targetLatencyMs * TRIAL_WAIT_SHARE - waitedMs;
-        const roomInMs = Math.max(0, expectedMs + aheadMs - roomMs) / input.waitSuccess;
+        const roomInMs = Math.max(0, expectedMs + aheadMs - roomMs) / input.waitSuccess ** WAIT_CAUTION;
         if (trialMs >= MIN_WAIT_MS) {
             return { type: "wait", forMs: Math.min(trialMs, latestMs) };
         }
