--- a/src/process/gateway/requestLog.ts
+++ b/src/process/gateway/requestLog.ts
@@ -51,6 +51,12 @@
         ? { sentLateMs: Math.round(outcome.sentLateMs), endReadLate: outcome.end.cause }
         : {};
 
+/** Time for which a request waited for room, and the priority of a route for whose request there was none. */
+const roomFields = ({ route, roomWaitMs = 0 }: RunningRequest, outcome: RequestOutcome): LogFields => ({
+    roomWaitMs: roomWaitMs > 0 ? Math.round(roomWaitMs) : undefined,
+    priority: outcome.type === "refused" && outcome.refusal.type === "overloaded" ? route.priority : undefined,
+});
+
 /** Failures are the most important; requests with several attempts or late answers explain more than ordinary ones. */
 const importanceOf = (request: RunningRequest, outcome: RequestOutcome, ms: number): Importance => {
     if (outcome.type === "refused" || (outcome.type === "answered" && outcome.status >= 500)) {
@@ -98,6 +104,7 @@
             sends: request.sends,
             ms: Math.round(ms),
             ...lateSendFields(outcome),
+            ...roomFields(request, outcome),
             timeoutMs: Math.round(request.allowedMs),
             ...this.options.serviceState(service),
         });
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -130,6 +130,10 @@
         this.roomWait = new RoomWait({ call, route, service }, services);
     }
 
+    get roomWaitMs(): number {
+        return this.roomWait.waitedMs;
+    }
+
     /** Time left until the final answer is due, in milliseconds. */
     leftMs(): number {
         return Math.min(this.dueAt, this.stopsAt) - this.services.clock.monotonicMs();
--- a/src/request/gatewayServices.ts
+++ b/src/request/gatewayServices.ts
@@ -73,6 +73,8 @@
     readonly sends: number;
     /** Time from its arrival until its final answer is due, in milliseconds. */
     readonly allowedMs: number;
+    /** Time for which it has waited for room at targets, in milliseconds; missing if it can't wait. */
+    readonly roomWaitMs?: number;
     /** Has it end by a monotonic time in milliseconds. */
     endBy(stopsAt: number): void;
 }
