Estimate the load of targets from old reports and the demand for them

A load report counted for 1.5 s, and then its target was taken for idle. With 85 instances most targets answer one instance every few seconds, so each one kept sending to a saturated target.

The load is now estimated from the last report and its age, the requests that this instance had for the target relative to its siblings, and the mean load of the service, to which it decays. A target that is thought to be saturated is probed at a rate that lets all instances together use 0.9 of its capacity; their number follows from the own answers and the reported loads. A target of a service that has lost requests when full is held below its queue limit by the standard deviation of what others may have sent. Samples of the service time are divided by the reported slowdown; only the expected time of a request uses the slowdown, for up to 0.4 s.

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -1,5 +1,6 @@
+import type { ReportedLoad } from "../../src/request/gatewayCall.js";
 import { seededRandom } from "../../test/support/seededRandom.js";
-import { chooseTarget, expectedMs, isFull } from "../../src/process/gateway/chooseTarget.js";
+import { chooseTarget, expectedMs, isFull, type PlacementCandidate } from "../../src/process/gateway/chooseTarget.js";
 import { decideAdmission, type Admission, type AdmissionInput } from "../../src/process/gateway/decideAdmission.js";
 import { GatewayTarget } from "../../src/process/gateway/gatewayTarget.js";
 import { ServiceProfile } from "../../src/process/gateway/serviceProfile.js";
@@ -19,10 +20,22 @@
 export interface ReplayPolicy {
     choose: typeof chooseTarget;
     admit: (input: AdmissionInput) => Admission;
+    /** What an instance knows of a target; the product's estimate if missing. */
+    candidate?: (view: GatewayTarget) => PlacementCandidate;
+    /** What an instance reads of a reported load; everything if missing. */
+    heard?: (load: ReportedLoad) => ReportedLoad;
 }
 
 /** The product's policy. */
 export const PRODUCT_POLICY: ReplayPolicy = { choose: chooseTarget, admit: decideAdmission };
+/**
+ * The product's policy with the load that was assumed before `estimateLoad`: by a report for 1.5 s, then the own requests only.
+ */
+export const EARLIER_POLICY: ReplayPolicy = {
+    ...PRODUCT_POLICY,
+    candidate: view => ({ ...view.candidate(), load: view.load(), margin: undefined }),
+    heard: ({ running, waiting, slots }) => ({ running, waiting, slots }),
+};
 /** The baseline policy: selects a random target and admits every request. */
 export const PLAIN_POLICY: ReplayPolicy = {
     choose: (candidates, _answerKb, random) => candidates[Math.floor(random() * candidates.length)],
@@ -45,19 +58,27 @@
 export const replay = (load: ReplayLoad, seed: number, policy: ReplayPolicy): ReplaySummary => {
     const random = seededRandom(seed);
     const decisions = seededRandom(seed + 1);
+    const neighbours = seededRandom(seed + 2);
     let now = 0;
     const clock: Clock = { monotonicMs: () => now, wallMs: () => now, setTimer: () => () => undefined };
     const events = new IndexedHeap<Event>((a, b) => a.at < b.at);
     const schedule = (at: number, run: () => void) => events.push({ at, run, heapIndex: -1 });
 
-    const targets = load.targets.map(target => new ReplayTarget(target, schedule, () => now));
+    const targets = load.targets.map(target => new ReplayTarget(target, schedule, () => now, neighbours));
     /** Each instance's state of the targets. */
     const instances = load.domains.map(domain =>
         Array.from({ length: load.instances }, () => {
             const profile = new ServiceProfile();
             return load.targets.map((target, index) => {
                 const entry = { id: `t${index}`, address: "127.0.0.1:1", slots: target.slots, warmupLeftMs: 0 };
-                return new GatewayTarget({ entry } as DirectoryTarget, clock, target.domain === domain, 1, profile);
+                return new GatewayTarget(
+                    { entry } as DirectoryTarget,
+                    clock,
+                    target.domain === domain,
+                    1,
+                    profile,
+                    decisions,
+                );
             });
         }),
     );
@@ -85,8 +106,9 @@
                 schedule(now + pause, () => attempt(request, views, key, serviceMs, retries + 1));
             }
         };
-        const candidates = views.map((view, index) => ({ ...view.candidate(), view, index }));
-        const chosen = load.keyed ? candidates[key] : policy.choose(candidates, ANSWER_KB, decisions);
+        const known = load.keyed ? [views[key]] : views;
+        const candidates = known.map(view => ({ ...(policy.candidate?.(view) ?? view.candidate()), view }));
+        const chosen = load.keyed ? candidates[0] : policy.choose(candidates, ANSWER_KB, decisions);
         if (chosen === undefined) {
             refused(DEFAULT_PAUSE_MS);
             return;
@@ -100,6 +122,7 @@
             isFull: isFull(chosen),
         });
         if (admission.type === "refuse") {
+            chosen.view.declined();
             refused(admission.pauseMs);
             return;
         }
@@ -107,14 +130,15 @@
         const startedAt = now;
         const loadAtStart = view.load();
         view.started();
-        targets[chosen.index].submit(serviceMs, decisions(), (result, reported) => {
+        targets[load.keyed ? key : views.indexOf(view)].submit(serviceMs, decisions(), (result, reported) => {
             view.ended();
+            request.turnedAway += Number(result === "reset" || result === "shed");
             if (result === "reset") {
                 view.unansweredCall(startedAt);
                 request.hasFailed = true;
                 return;
             }
-            view.report(reported);
+            view.report(policy.heard?.(reported) ?? reported);
             switch (result) {
                 case "shed":
                     view.failed();
@@ -141,7 +165,14 @@
                 if (at >= load.durationMs) {
                     return;
                 }
-                const request: ReplayedRequest = { kind, domain, arrivedMs: at, refusals: 0, hasFailed: false };
+                const request: ReplayedRequest = {
+                    kind,
+                    domain,
+                    arrivedMs: at,
+                    refusals: 0,
+                    turnedAway: 0,
+                    hasFailed: false,
+                };
                 const views = instances[domainIndex][Math.floor(random() * load.instances)];
                 const key = keyAt(at);
                 const serviceMs = kind.meanServiceMs * (0.5 + random());
--- a/bench/replay/replayLoad.ts
+++ b/bench/replay/replayLoad.ts
@@ -44,6 +44,15 @@
                     queue: z.number().int().min(0).default(12),
                     /** Whether it resets the connection of a request that it turns away, so that its caller fails. */
                     resets: z.boolean().default(false),
+                    /** Time after which its instance gives up a request that it drops without an answer when it is full; missing if it answers. */
+                    silentMs: positive.optional(),
+                    /** Neighbours that slow it by a factor for a share of the time, which changes at an interval. */
+                    neighbours: z
+                        .object({ factor: positive, share: z.number().min(0).max(1), everyMs: positive })
+                        .optional(),
+                    /** Time from which its speed is multiplied by `slowTo`. */
+                    slowFromMs: z.number().min(0).default(Infinity),
+                    slowTo: positive.default(1),
                     /** Speed factor; service times are divided by it. */
                     speed: positive.default(1),
                     /** Share of requests that fail. */
--- a/bench/replay/replaySummary.ts
+++ b/bench/replay/replaySummary.ts
@@ -8,6 +8,8 @@
     /** Time from the arrival to the answer; `undefined` if there was none. */
     tookMs?: number;
     refusals: number;
+    /** Attempts that reached a full target. */
+    turnedAway: number;
     hasFailed: boolean;
 }
 
@@ -21,6 +23,8 @@
     /** Requests that were refused and never answered. */
     refused: number;
     failed: number;
+    /** Attempts that reached a full target. */
+    turnedAway: number;
     worth: number;
     worstSecond: number;
     worstDomain: number;
@@ -71,6 +75,7 @@
         servedAfterRefusal: served.filter(({ refusals }) => refusals > 0).length,
         refused,
         failed: requests.length - served.length - refused,
+        turnedAway: requests.reduce((sum, { turnedAway }) => sum + turnedAway, 0),
         worth: rounded(shareOf(requests)),
         worstSecond: rounded(Math.min(...sharesBy(requests, ({ arrivedMs }) => Math.floor(arrivedMs / WINDOW_MS)))),
         worstDomain: rounded(Math.min(...sharesBy(requests, ({ domain }) => domain))),
--- a/src/process/gateway/chooseTarget.ts
+++ b/src/process/gateway/chooseTarget.ts
@@ -1,12 +1,21 @@
+import { slowedMs, type Slowdown } from "./currentSlowdown.js";
+
 /** State of a target that could run a request. */
 export interface PlacementCandidate {
-    /** Requests running or waiting at the target, as far as known. */
+    /** Requests running or waiting at the target, as estimated. */
     load: number;
+    /**
+     * Requests beyond `load` that may be at the target; missing for a target that states when it is full, so that a request too many
+     * costs little there.
+     */
+    margin?: number;
     slots: number;
     /** Number of requests that are known to fit in its queue. */
     queueLimit: number;
     /** Mean time in milliseconds that one request takes in a free slot. */
     serviceMs: number;
+    /** Slowdown of its machine at present; missing if the usual one is expected. */
+    slowdown?: Slowdown;
     /** Share of recent requests that the target failed or shed, from 0 to 1. */
     failureShare: number;
     /** Number of times that its answers pass from one failure domain to another. */
@@ -36,22 +45,23 @@
  * @example
  * expectedMs({ load: 12, slots: 6, serviceMs: 100, ... }); // about 217
  */
-export const expectedMs = ({ load, slots, serviceMs }: PlacementCandidate): number => {
+export const expectedMs = ({ load, slots, serviceMs, slowdown }: PlacementCandidate): number => {
     const waitMs = (Math.max(0, load + 1 - slots) * serviceMs) / slots;
-    return waitMs + serviceMs;
+    return slowedMs(waitMs + serviceMs, slowdown);
 };
 
 /** Part of a target's queue that is left for requests of other instances that this one doesn't know of. */
 const UNKNOWN_SHARE = 0.1;
 
 /**
- * Whether a target is likely to turn away one more request.
+ * Whether a target is likely to turn away one more request. It handles targets that lose requests when they are full and of which little is
+ * known: the less is known of the requests that others have sent, the more of the queue is left for them.
  *
  * @example
  * isFull({ load: 30, slots: 6, queueLimit: 24, ... }); // true
  */
-export const isFull = ({ load, slots, queueLimit }: PlacementCandidate): boolean =>
-    load + 1 > slots + queueLimit * (1 - UNKNOWN_SHARE);
+export const isFull = ({ load, margin = 0, slots, queueLimit }: PlacementCandidate): boolean =>
+    load + margin + 1 > slots + queueLimit * (1 - UNKNOWN_SHARE);
 
 /** Cost of a target in milliseconds: the expected time plus the costs of distance, failures and suspicion. */
 export const placementCost = (candidate: PlacementCandidate, answerKb: number): number => {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -657,6 +657,13 @@
                 inFlight: target.running,
                 isCut: target.reach.isCut,
                 limit: target.limit?.perSecond,
+                load: target.estimatedLoad(),
+                probes: target.probes,
+            })),
+            services: [...this.targets.serviceProfiles()].map(([service, profile]) => ({
+                service,
+                instances: profile.instances(this.options.clock.monotonicMs()),
+                losesWhenFull: profile.losesWhenFull(this.options.clock.monotonicMs()),
             })),
             retries: [...this.retries].map(([service, budget]) => ({ service, available: budget.available() })),
         };
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -26,7 +26,13 @@
         limit: number | undefined;
         /** Whether the path to the target is cut. */
         isCut: boolean;
+        /** Requests running or waiting at it, as estimated. */
+        load: number;
+        /** Requests that were sent although it was thought to be saturated. */
+        probes: number;
     }>;
+    /** What targets have shown, by service. */
+    services: Iterable<{ service: string; instances: number; losesWhenFull: boolean }>;
     retries: Iterable<{ service: string; available: number }>;
 }
 
@@ -125,7 +131,13 @@
             this.metrics.gauge("owners_without_grant", { service }).set(failing.get(service) ?? 0);
         }
         const cutPaths = new Map<string, number>();
-        for (const { service, target, inFlight, limit, isCut } of targets) {
+        for (const { service, instances, losesWhenFull } of state.services) {
+            this.metrics.gauge("sending_instances", { service }).set(instances);
+            this.metrics.gauge("loses_when_full", { service }).set(losesWhenFull ? 1 : 0);
+        }
+        for (const { service, target, inFlight, limit, isCut, load, probes } of targets) {
+            this.metrics.gauge("target_estimated_load_requests", { service, target }).set(load);
+            this.metrics.gauge("target_probes", { service, target }).set(probes);
             cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -3,8 +3,11 @@
 import type { Clock } from "../runtime/clock.js";
 import { expectedMs, type PlacementCandidate } from "./chooseTarget.js";
 import { decideIntake, type Intake } from "./decideIntake.js";
+import { slowdownAfter } from "./currentSlowdown.js";
+import { DecayingCount } from "./decayingCount.js";
+import { estimateLoad, type LoadEstimate } from "./estimateLoad.js";
 import type { TargetReport } from "./loadReport.js";
-import { ServiceProfile } from "./serviceProfile.js";
+import { DEMAND_HALF_LIFE_MS, ServiceProfile } from "./serviceProfile.js";
 import type { DirectoryTarget } from "./targetDirectory.js";
 import type { StatedLimit } from "./targetIntake.js";
 import { TargetReach } from "./targetReach.js";
@@ -25,6 +28,13 @@
 const MIN_SUSPICION_MS = 400;
 const MAX_SUSPICION_MS = 3_000;
 
+/** Share of a saturated target's capacity that all instances together use while none knows whether it has room. */
+const PROBED_CAPACITY = 0.9;
+/** Share of the queue from which a target counts as saturated; probes are sent to it only then. */
+const SATURATED_QUEUE_SHARE = 0.5;
+/** Maximum share of the queue that is left free because of an uncertain load. */
+const MAX_MARGIN_SHARE = 0.5;
+
 /** Intake of a target that has stated neither that it leaves nor a rest. */
 const OPEN: Intake = { type: "open" };
 /** Ratio of load to slots that is assumed of a target whose limit refuses callers. */
@@ -35,7 +45,11 @@
     readonly connections: TargetConnections;
     /** What is known of the direct path to it. */
     readonly reach: TargetReach;
+    /** Number of requests that were sent although the target was thought to be saturated. */
+    probes = 0;
     private inFlight = 0;
+    /** Requests running or waiting at the target when it last reported them, or was last seen to be full. */
+    private lastLoad: { load: number; at: number; own: number } | undefined;
     private reported: { load: ReportedLoad; at: number; ownInFlight: number } | undefined;
     private serviceMs = 0;
     private samples = 0;
@@ -48,6 +62,13 @@
     private unanswered = 0;
     private suspectUntil = -Infinity;
     private readonly warmUntil: number;
+    /** Requests that this instance had for the target, sent or not. */
+    private readonly asked = new DecayingCount(DEMAND_HALF_LIFE_MS);
+    /**
+     * Monotonic time in milliseconds from which a request is sent although the target is thought to be saturated; `undefined` while it
+     * isn't. It is drawn when the target is first thought to be saturated: earlier pauses would let each instance send at once then.
+     */
+    private probeFrom: number | undefined;
 
     constructor(
         readonly listed: DirectoryTarget,
@@ -55,7 +76,9 @@
         private readonly sameDomain: boolean,
         readonly connectionLimit: number,
         private readonly profile = new ServiceProfile(),
+        private readonly random: () => number = Math.random,
     ) {
+        profile.targets++;
         this.connections = new TargetConnections(listed.entry.address, clock, { limit: connectionLimit });
         this.reach = new TargetReach(clock);
         this.warmUntil = clock.monotonicMs() + listed.entry.warmupLeftMs;
@@ -80,6 +103,11 @@
         return expectedMs(this.candidate());
     }
 
+    /** Requests running or waiting at the target, as estimated. */
+    estimatedLoad(): number {
+        return this.estimate().load;
+    }
+
     /** The limit that the target states; `undefined` while it states none. */
     get limit(): StatedLimit | undefined {
         return this.listed.intake.limit;
@@ -100,6 +128,14 @@
 
     started(): void {
         this.inFlight++;
+        this.probes += Number(this.isProbeDue(this.estimate(), this.clock.monotonicMs()));
+        this.probeFrom = undefined;
+        this.countDemand();
+    }
+
+    /** Counts a request that isn't sent because the target is too busy. */
+    declined(): void {
+        this.countDemand();
     }
 
     /** Counts a request that has ended with any outcome. */
@@ -111,8 +147,10 @@
     report(load: ReportedLoad): void {
         const pressure = (load.running + load.waiting) / Math.max(1, load.slots);
         this.pressure += (pressure - this.pressure) * PRESSURE_WEIGHT;
-        this.profile.reported(load);
-        this.reported = { load, at: this.clock.monotonicMs(), ownInFlight: this.inFlight };
+        const now = this.clock.monotonicMs();
+        this.profile.reported(load, now);
+        this.reported = { load, at: now, ownInFlight: this.inFlight };
+        this.lastLoad = { load: load.running + load.waiting, at: now, own: this.inFlight };
     }
 
     /**
@@ -124,11 +162,12 @@
         // Most of the load at the start may be that of other instances, which only the answer reports.
         const load = Math.max(loadAtStart + 1, this.reportedLoad());
         const rounds = Math.max(1, load / slots);
-        const sample = durationMs / rounds;
+        const sample = durationMs / rounds / this.reportedSlowdown();
         const weight = Math.max(SAMPLE_WEIGHT, 1 / (this.samples + 1));
         this.serviceMs += (sample - this.serviceMs) * weight;
         this.samples++;
         this.profile.answered(sample);
+        this.profile.ownAnswer(this.clock.monotonicMs());
         if (!isForwarded) {
             this.unreported.answers++;
             this.unreported.serviceMs += sample;
@@ -183,6 +222,7 @@
             return;
         }
         this.countFailure(1);
+        this.noticeLossWhenFull(startedAt);
         if (this.lastAnswerAt > startedAt) {
             return;
         }
@@ -197,7 +237,10 @@
         this.suspectUntil = -Infinity;
     }
 
-    /** Requests running or waiting at the target, as far as this instance knows. */
+    /**
+     * Requests running or waiting at the target by a recent report, or those of this instance. Samples of the service time use it, as an
+     * estimate of the load would distort them.
+     */
     load(): number {
         const { reported } = this;
         if (reported === undefined || this.clock.monotonicMs() - reported.at > REPORT_LIFETIME_MS) {
@@ -232,13 +275,19 @@
      * @param crossings number of times that its answers pass from one failure domain to another
      */
     candidate(crossings = this.sameDomain ? 0 : 1): PlacementCandidate & { target: GatewayTarget } {
-        const isWarm = this.clock.monotonicMs() >= this.warmUntil;
+        const now = this.clock.monotonicMs();
+        const isWarm = now >= this.warmUntil;
+        const { slots } = this.listed.entry;
+        const estimate = this.estimate();
+        const isProbe = this.isProbeDue(estimate, now);
         return {
             target: this,
-            load: this.load(),
-            slots: this.listed.entry.slots,
+            load: isProbe ? Math.max(this.inFlight, slots - 1) : estimate.load,
+            margin: isProbe || !this.profile.losesWhenFull(now) ? undefined : this.marginOf(estimate),
+            slots,
             serviceMs: this.estimatedServiceMs() * (isWarm || this.samples > 0 ? 1 : WARMUP_FACTOR),
-            queueLimit: this.profile.queueLimit(this.listed.entry.slots),
+            slowdown: this.reported && slowdownAfter(this.reportedSlowdown(), now - this.reported.at),
+            queueLimit: this.profile.queueLimit(slots),
             failureShare: this.currentFailureShare(),
             crossings,
             suspect: this.isSuspect() || this.listed.claimed,
@@ -246,9 +295,79 @@
     }
 
     dispose(): void {
+        this.profile.targets--;
         this.connections.dispose();
     }
 
+    /** The load of all instances, by the own requests and the reports of the target and of the others of its service. */
+    private estimate(): LoadEstimate {
+        const now = this.clock.monotonicMs();
+        const { slots } = this.listed.entry;
+        const { lastLoad } = this;
+        return estimateLoad({
+            own: this.inFlight,
+            report: lastLoad && { load: lastLoad.load, own: lastLoad.own, ageMs: now - lastLoad.at },
+            slots,
+            queueLimit: this.profile.queueLimit(slots),
+            serviceMs: this.estimatedServiceMs(),
+            service: this.profile.load(slots, now),
+            demand: this.profile.relativeDemand(this.asked.at(now), now),
+        });
+    }
+
+    /** Whether a request is sent although the target is thought to be saturated, so that a wrong estimate is corrected. */
+    private isProbeDue(estimate: LoadEstimate, now: number): boolean {
+        this.probeFrom = this.isSaturated(estimate) ? (this.probeFrom ?? now + this.probePauseMs()) : undefined;
+        return this.probeFrom !== undefined && now >= this.probeFrom;
+    }
+
+    private isSaturated({ load }: LoadEstimate): boolean {
+        const { slots } = this.listed.entry;
+        return load + 1 > slots + this.profile.queueLimit(slots) * SATURATED_QUEUE_SHARE;
+    }
+
+    /** Learns from a request without an answer that was sent at a time at which the target seems to have been full. */
+    private noticeLossWhenFull(startedAt: number): void {
+        const now = this.clock.monotonicMs();
+        const { slots } = this.listed.entry;
+        const running = this.profile.load(slots, now)?.running ?? 0;
+        const isOverloaded = running * this.profile.relativeDemand(this.asked.at(now), now) >= slots;
+        if (!isOverloaded && !this.isSaturated(this.estimate())) {
+            return;
+        }
+        this.profile.lostAtFullTarget(now);
+        if (startedAt > (this.lastLoad?.at ?? -Infinity)) {
+            this.lastLoad = { load: slots + this.profile.queueLimit(slots), at: startedAt, own: this.inFlight };
+        }
+    }
+
+    private marginOf({ deviation }: LoadEstimate): number {
+        return Math.min(deviation, this.profile.queueLimit(this.listed.entry.slots) * MAX_MARGIN_SHARE);
+    }
+
+    /**
+     * Time until this instance may send to the target again although that is thought to be saturated. The mean is the time in which the
+     * target serves one request of each instance, less a margin. The times of different instances are independent, so that their
+     * requests arrive evenly.
+     */
+    private probePauseMs(): number {
+        const instances = this.profile.instances(this.clock.monotonicMs());
+        const meanMs = (instances * this.estimatedServiceMs()) / this.listed.entry.slots / PROBED_CAPACITY;
+        return -meanMs * Math.log(1 - this.random());
+    }
+
+    private countDemand(): void {
+        const now = this.clock.monotonicMs();
+        this.asked.add(now);
+        this.profile.asked(now);
+    }
+
+    /** Slowdown of the target's machine that it last reported, relative to the mean of its service. */
+    private reportedSlowdown(): number {
+        const slowdown = this.reported?.load.slowdown;
+        return slowdown === undefined ? 1 : slowdown / this.profile.meanSlowdown;
+    }
+
     /** Time that a request takes in a free slot by this target's answers and, where these are few, those of the others. */
     private estimatedServiceMs(): number {
         const known = this.samples + PRIOR_SAMPLES;
--- a/src/process/gateway/gatewayTargets.ts
+++ b/src/process/gateway/gatewayTargets.ts
@@ -80,8 +80,17 @@
         return target;
     }
 
+    /** What the targets of each service have shown. */
+    serviceProfiles(): Iterable<[service: string, profile: ServiceProfile]> {
+        return this.profiles;
+    }
+
     private profileOf(service: string): ServiceProfile {
-        const profile = this.profiles.get(service) ?? new ServiceProfile();
+        const lossesFound = () =>
+            this.options.logger.warn("Targets lose requests when they are full; part of their queues is left free.", {
+                service,
+            });
+        const profile = this.profiles.get(service) ?? new ServiceProfile(lossesFound);
         this.profiles.set(service, profile);
         return profile;
     }
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -244,6 +244,7 @@
             case "stopping":
                 return { type: "refuse", refusal: refuseStopping() };
             case "refuse":
+                target.declined();
                 return this.refusal(
                     "overloaded",
                     `Target ${target.id} needs about ${Math.round(neededMs)} ms.`,
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -115,6 +115,26 @@
         help: "Concurrency limit of the target.",
         labels: ["service", "target"],
     },
+    target_estimated_load_requests: {
+        type: "gauge",
+        help: "Requests that run or wait at the target, as this gateway estimates.",
+        labels: ["service", "target"],
+    },
+    target_probes: {
+        type: "gauge",
+        help: "Requests that this gateway has sent to the target although it was thought to be saturated.",
+        labels: ["service", "target"],
+    },
+    sending_instances: {
+        type: "gauge",
+        help: "Instances that send to the service, as this gateway estimates from its answers and the reported loads.",
+        labels: ["service"],
+    },
+    loses_when_full: {
+        type: "gauge",
+        help: "1 if targets of the service were seen to lose requests when they were full, else 0.",
+        labels: ["service"],
+    },
     takeover_seconds: {
         type: "summary",
         help: "Time from the suspicion of a dispatcher or the loss of a target to the commit of the new assignment.",
