Send idempotent requests again whose answers are shown to be missing

A full target may answer nothing on a connection. Such a request waited for half of its time, or until its timeout if only its owner could run it.

Two answers to later requests, together with a reported load below the number of requests that this instance awaits, now show that the answer won't come; so do four later answers for each slot without a load. An idempotent request is then sent again within the retry budget, also to its owner.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -659,6 +659,7 @@
                 limit: target.limit?.perSecond,
                 load: target.estimatedLoad(),
                 probes: target.probes,
+                missingAnswers: target.missingAnswers,
             })),
             services: [...this.targets.serviceProfiles()].map(([service, profile]) => ({
                 service,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -30,6 +30,8 @@
         load: number;
         /** Requests that were sent although it was thought to be saturated. */
         probes: number;
+        /** Requests that were sent again because their answers were found to be missing. */
+        missingAnswers: number;
     }>;
     /** What targets have shown, by service. */
     services: Iterable<{ service: string; instances: number; losesWhenFull: boolean }>;
@@ -135,9 +137,10 @@
             this.metrics.gauge("sending_instances", { service }).set(instances);
             this.metrics.gauge("loses_when_full", { service }).set(losesWhenFull ? 1 : 0);
         }
-        for (const { service, target, inFlight, limit, isCut, load, probes } of targets) {
+        for (const { service, target, inFlight, limit, isCut, load, probes, missingAnswers } of targets) {
             this.metrics.gauge("target_estimated_load_requests", { service, target }).set(load);
             this.metrics.gauge("target_probes", { service, target }).set(probes);
+            this.metrics.gauge("target_missing_answers", { service, target }).set(missingAnswers);
             cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -1,6 +1,7 @@
 import { TargetConnections } from "../../connection/targetConnections.js";
 import type { ReportedLoad } from "../../request/gatewayCall.js";
 import type { Clock } from "../runtime/clock.js";
+import { AwaitedAnswers } from "./awaitedAnswers.js";
 import { expectedMs, type PlacementCandidate } from "./chooseTarget.js";
 import { decideIntake, type Intake } from "./decideIntake.js";
 import { slowdownAfter } from "./currentSlowdown.js";
@@ -43,6 +44,10 @@
 /** This instance's view of one target: its connections, load, speed and failures. */
 export class GatewayTarget {
     readonly connections: TargetConnections;
+    /** Requests that were sent on the direct path and whose answers haven't begun. */
+    readonly awaited: AwaitedAnswers;
+    /** Number of requests that were sent again because their answers were found to be missing. */
+    missingAnswers = 0;
     /** What is known of the direct path to it. */
     readonly reach: TargetReach;
     /** Number of requests that were sent although the target was thought to be saturated. */
@@ -80,6 +85,7 @@
     ) {
         profile.targets++;
         this.connections = new TargetConnections(listed.entry.address, clock, { limit: connectionLimit });
+        this.awaited = new AwaitedAnswers(listed.entry.slots);
         this.reach = new TargetReach(clock);
         this.warmUntil = clock.monotonicMs() + listed.entry.warmupLeftMs;
     }
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -125,6 +125,11 @@
         help: "Requests that this gateway has sent to the target although it was thought to be saturated.",
         labels: ["service", "target"],
     },
+    target_missing_answers: {
+        type: "gauge",
+        help: "Requests that this gateway has sent again before their time because the target's other answers showed that theirs was missing.",
+        labels: ["service", "target"],
+    },
     sending_instances: {
         type: "gauge",
         help: "Instances that send to the service, as this gateway estimates from its answers and the reported loads.",
--- a/src/request/gatewayRequest.ts
+++ b/src/request/gatewayRequest.ts
@@ -1,6 +1,7 @@
 import type { SentRequest, TargetAnswer, TargetFailure } from "../connection/targetConnections.js";
 import { afterInput } from "../process/runtime/afterInput.js";
 import type { TimerCancellation } from "../process/runtime/clock.js";
+import type { AwaitedAnswer } from "../process/gateway/awaitedAnswers.js";
 import type { ForwardingPeer } from "../process/gateway/forwardingPeer.js";
 import type { GatewayTarget } from "../process/gateway/gatewayTarget.js";
 import type { PathAttempt } from "../process/gateway/targetReach.js";
@@ -62,6 +63,8 @@
     peer: ForwardingPeer | undefined;
     /** The attempt as it is observed on the direct path. */
     path: PathAttempt | undefined;
+    /** The wait for an answer on the direct path; `undefined` until it is sent. */
+    awaited: AwaitedAnswer | undefined;
     /** Content of the answer until it is complete or forwarded. */
     held: HeldAnswer;
 }
@@ -398,6 +401,7 @@
             hasEnded: false,
             peer,
             path: peer === undefined ? target.reach.begin(() => this.pathCut(attempt)) : undefined,
+            awaited: undefined,
             held: this.services.heldAnswers.create(),
         };
         this.attempt = attempt;
@@ -416,6 +420,9 @@
                 attempt.wasSent = true;
                 attempt.sentAt = clock.monotonicMs();
                 attempt.path?.sent();
+                if (peer === undefined) {
+                    attempt.awaited = target.awaited.sent(() => this.answerMissing(attempt));
+                }
                 this.sends++;
                 if (this.sends > 1) {
                     this.services.retried(this.service, this.retryCause);
@@ -434,6 +441,9 @@
                 if (facts.load !== undefined) {
                     target.report(facts.load);
                 }
+                if (attempt.awaited !== undefined) {
+                    target.awaited.answered(attempt.awaited, facts.load && facts.load.running + facts.load.waiting);
+                }
                 this.services.answerStated(target, facts, attempt.sentAt ?? startedAt);
             },
             data: chunk => {
@@ -552,7 +562,18 @@
         this.dispose.push(cancelTimer);
     }
 
-    private checkSilence(attempt: Attempt): void {
+    /**
+     * Sends an idempotent request again whose answer is missing. Another one keeps waiting on its connection, which carries nothing else
+     * until then.
+     */
+    private answerMissing(attempt: Attempt): void {
+        if (this.isIdempotent) {
+            this.dispose.push(afterInput(() => this.checkSilence(attempt, true)));
+        }
+    }
+
+    /** @param isMissing whether answers to other requests show that this one won't come */
+    private checkSilence(attempt: Attempt, isMissing = false): void {
         if (this.isDone || attempt.hasEnded || !attempt.wasSent || this.stream !== undefined) {
             return;
         }
@@ -561,7 +582,8 @@
             return;
         }
         const query = this.query();
-        const placement = this.services.canPlaceAgain(query, "silent") ? this.services.place(query) : undefined;
+        const end = isMissing ? "lost" : "silent";
+        const placement = this.services.canPlaceAgain(query, end) ? this.services.place(query) : undefined;
         // A target that might refuse the request isn't used, as its answer may still arrive.
         const isFurther =
             placement?.type === "target" &&
@@ -573,7 +595,8 @@
             return;
         }
         attempt.record.next = step;
-        attempt.record.end = "no answer in time";
+        attempt.record.end = isMissing ? "its answer is missing" : "no answer in time";
+        attempt.target.missingAnswers += Number(isMissing);
         this.unanswered(attempt);
         this.abortAttempt("the target sent no answer");
         this.send(further);
@@ -610,6 +633,9 @@
         attempt.hasEnded = true;
         attempt.held.take();
         attempt.path?.end();
+        if (attempt.awaited !== undefined) {
+            attempt.target.awaited.ended(attempt.awaited);
+        }
         if (this.attempt === attempt) {
             this.attempt = undefined;
         }
