--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -32,7 +32,15 @@
         isCut: boolean;
         /** Whether its warm-up bounds the requests that it may get. */
         isCold: boolean;
+        /** Requests running or waiting at it, as estimated. */
+        load: number;
+        /** Requests that were sent although it was thought to be saturated. */
+        probes: number;
+        /** Requests that were sent again because their answers were found to be missing. */
+        missingAnswers: number;
     }>;
+    /** What targets have shown, by service. */
+    services: Iterable<{ service: string; instances: number; losesWhenFull: boolean }>;
     /** Requests that wait for room at a target, by service. */
     waiting: Iterable<[service: string, requests: number]>;
     retries: Iterable<{ service: string; available: number }>;
@@ -155,8 +163,15 @@
         this.collectEvacuations(state);
         const cutPaths = new Map<string, number>();
         const coldTargets = new Map<string, number>();
-        for (const { service, target, inFlight, limit, isCut, isCold } of targets) {
+        for (const { service, instances, losesWhenFull } of state.services) {
+            this.metrics.gauge("sending_instances", { service }).set(instances);
+            this.metrics.gauge("loses_when_full", { service }).set(losesWhenFull ? 1 : 0);
+        }
+        for (const { service, target, inFlight, limit, isCut, isCold, load, probes, missingAnswers } of targets) {
             coldTargets.set(service, (coldTargets.get(service) ?? 0) + (isCold ? 1 : 0));
+            this.metrics.gauge("target_estimated_load_requests", { service, target }).set(load);
+            this.metrics.gauge("target_probes", { service, target }).set(probes);
+            this.metrics.gauge("target_missing_answers", { service, target }).set(missingAnswers);
             cutPaths.set(service, (cutPaths.get(service) ?? 0) + (isCut ? 1 : 0));
             this.metrics.gauge("target_in_flight_requests", { service, target }).set(inFlight);
             if (limit !== undefined || this.limited.has(target)) {
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -283,6 +283,7 @@
                 rooms?.heldBack(query);
                 return { type: "room", target, maxWaitMs: decision.forMs };
             case "refuse": {
+                target.declined();
                 rooms?.heldBack(query);
                 rooms?.refused(target, decision.delayMs);
                 const text = `Target ${target.id} needs about ${Math.round(neededMs)} ms.`;
