Keep the ranges of evacuated owners whole where the load stays even

Each evacuation and return of a third of the targets split ranges for even load. The row of the assignment takes some 1,500 ranges, and the store refuses a longer one, which would stop all moves. Ranges of up to half of a receiver's fair share now move whole, small rests aren't split off, and returning targets get whole ranges where some fit. Owners that leave are handled as before.

--- a/src/process/gateway/__tests__/planMoves.test.ts
+++ b/src/process/gateway/__tests__/planMoves.test.ts
@@ -232,3 +232,36 @@
         expect(Math.max(...ids.map(id => shareOf(ranges, id)))).toBeLessThan(2);
     });
 });
+
+describe("planMoves with a failure domain that is evacuated and returns repeatedly", () => {
+    /** Guards against a row that grows with each evacuation until the store refuses it, and against uneven load instead. */
+    it.each([215, 512])("doesn't split ranges each time (%i ranges)", count => {
+        const ids = Array.from({ length: 215 }, (_, index) => `t${index}`);
+        const width = Math.ceil(KEY_COUNT / count);
+        let ranges = Array.from({ length: count }, (_, index) => ({
+            ...{
+                from: index * width,
+                to: Math.min(KEY_COUNT, (index + 1) * width) - 1,
+                target: ids[(index * 7) % 215],
+            },
+            ...{ startedAtMs: 1, address: "", fence: index },
+        })).filter(({ from, to }) => from <= to);
+        const loadsOf = (some: readonly string[]) => some.map(id => (keysOf(ranges, id) / KEY_COUNT) * some.length);
+        for (let cycle = 0; cycle < 12; cycle++) {
+            const isAway = (index: number) => index % 3 === cycle % 3;
+            const evacuated = ids.map((id, index) =>
+                target(id, isAway(index) ? { canReceive: false, isEvacuated: true } : {}),
+            );
+            ranges = apply(ranges, planMoves({ ranges, targets: evacuated, loads: EVEN, balance: false }));
+            const others = ids.filter((_, index) => !isAway(index));
+            expect(others.reduce((sum, id) => sum + keysOf(ranges, id), 0)).toBe(KEY_COUNT);
+            expect(Math.max(...loadsOf(others))).toBeLessThan(1.6);
+            const returned = ids.map((id, index) => target(id, { isReturning: isAway(index) }));
+            for (let rounds = 0; rounds < 50; rounds++) {
+                ranges = apply(ranges, planMoves({ ranges, targets: returned, loads: EVEN, balance: true }));
+            }
+            expect(Math.min(...loadsOf(ids))).toBeGreaterThan(0.4);
+        }
+        expect(ranges.length).toBeLessThan(1_000);
+    });
+});
--- a/src/process/gateway/keyAssigner.ts
+++ b/src/process/gateway/keyAssigner.ts
@@ -608,6 +608,7 @@
             canReceive: (isListed && usable && isReached && !this.isClaiming(tracked, now)) || waitsForReturn,
             canRelease: usable && now - tracked.grants.answeredAt() < 2 * RENEWAL_MS,
             isFailing: tracked.grants.isFailing(),
+            isEvacuated: tracked.listed.evacuation !== undefined,
             isReturning: now - (tracked.listed.returnedAt ?? -Infinity) < RETURN_FROM_EVACUATION_MS,
         };
     }
--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -22,6 +22,8 @@
     isFailing?: boolean;
     /** Whether the evacuation of its failure domain has ended not long ago. It gets keys for balance in few moves at a time. */
     isReturning?: boolean;
+    /** Whether its failure domain is evacuated. Its ranges are kept whole where that leaves the load even enough. */
+    isEvacuated?: boolean;
 }
 
 /** Planned change of the owner of keys. `source` is `undefined` for keys without an owner. */
@@ -65,6 +67,13 @@
 /** Minimum load of a move for balance, as a share of the receiver's fair share; less isn't worth the wait. */
 const MIN_MOVED_SHARE = 0.09;
 
+/**
+ * Maximum load of a range of an evacuated target that is moved whole, and of a rest that isn't split off, as shares of the receiver's fair
+ * share. Each further range makes the row longer, which takes some 1,500: twelve evacuations of a third of 215 targets took 512 ranges to
+ * 1,065 without this rule.
+ */
+const WHOLE_RANGE_SHARE = 0.5;
+const LEAST_REST_SHARE = 1 / 8;
 /** Ratio of load to fair share up to which such a target is assigned keys; what is missing then isn't worth a move. */
 const RETURN_RATIO = FILL_RATIO - MIN_MOVED_SHARE;
 
@@ -145,6 +154,7 @@
     source: string | undefined,
     holdings: readonly Holding[],
     loads: KeyLoads,
+    keepsRanges = false,
 ): KeyMove[] => {
     const moves: KeyMove[] = [];
     for (let from = range.from; from <= range.to;) {
@@ -153,7 +163,12 @@
             return moves;
         }
         const room = Math.max(receiver.fairLoad - receiver.load, receiver.fairLoad / 4);
-        const to = loads.lastKeyWithin(from, range.to, room);
+        const within = loads.lastKeyWithin(from, range.to, room);
+        const isWhole =
+            keepsRanges &&
+            (loads.of(from, range.to) <= receiver.fairLoad * WHOLE_RANGE_SHARE ||
+                loads.of(within, range.to) <= receiver.fairLoad * LEAST_REST_SHARE);
+        const to = isWhole ? range.to : within;
         receiver.load += loads.of(from, to);
         moves.push({ from, to, source, target: receiver.target.id });
         from = to + 1;
@@ -212,7 +227,11 @@
                 return moves;
             }
             const wanted = Math.min(source.load * FILL_SHARE, fairLoad * FILL_RATIO - holding.load);
-            const added = movePiece(source, holding, wanted, loads);
+            const whole = isReturning ? wholeRange(source, wanted, loads) : undefined;
+            const added =
+                whole === undefined
+                    ? movePiece(source, holding, wanted, loads)
+                    : [passPiece(source, holding, whole, loads)];
             moves.push(...added);
             returnMoves -= isReturning ? added.length : 0;
         }
@@ -220,6 +239,15 @@
     return moves;
 };
 
+/** The range with the highest load up to a maximum among those of a target that has others, if it is worth a move. */
+const wholeRange = ({ ranges, fairLoad }: Holding, max: number, loads: KeyLoads): KeyRange | undefined => {
+    const [largest] = ranges
+        .map(range => ({ range, load: loads.of(range.from, range.to) }))
+        .filter(({ load }) => load <= max && load >= fairLoad * MIN_MOVED_SHARE)
+        .sort((a, b) => b.load - a.load);
+    return ranges.length > 1 ? largest?.range : undefined;
+};
+
 /** Holdings with the highest load in relation to their fair share first. */
 const byRelativeLoad = (holdings: readonly Holding[]): Holding[] =>
     [...holdings].sort((a, b) => b.load / b.fairLoad - a.load / a.fairLoad);
@@ -364,7 +392,7 @@
     source.ranges = source.ranges.flatMap(range => withoutRanges(range, [piece]));
     source.load -= moved;
     receiver.load += moved;
-    return { ...piece, source: source.target.id, target: receiver.target.id };
+    return { from: piece.from, to: piece.to, source: source.target.id, target: receiver.target.id };
 };
 
 /**
@@ -412,7 +440,7 @@
         if (holding === undefined) {
             moves.push(...placeRange(range, range.target === "" ? undefined : range.target, holdings, loads));
         } else if (!holding.target.canReceive) {
-            moves.push(...placeRange(range, range.target, holdings, loads));
+            moves.push(...placeRange(range, range.target, holdings, loads, holding.target.isEvacuated));
         }
     }
     const maxMoves = Math.max(MIN_BALANCE_MOVES, Math.ceil(receivers.length * BALANCE_MOVES_SHARE)) - underWay;
