--- a/src/process/gateway/__tests__/warmupPermits.test.ts
+++ b/src/process/gateway/__tests__/warmupPermits.test.ts
@@ -156,6 +156,33 @@
     });
 });
 
+// Guards against an instance that is busy with messages to all others because full targets reset connections.
+test("suspicions of restarts are passed on at a limited rate, and statements always", () => {
+    const clock = new ManualClock();
+    let sent = 0;
+    const exchange = new LimitExchange({
+        clock,
+        admitter: new LimitAdmitter(clock),
+        isAdmitting: () => true,
+        admittingAddress: () => undefined,
+        send: () => sent++,
+        unanswered: () => undefined,
+        limitEnded: () => undefined,
+        others: () => OTHERS.slice(1),
+    });
+    const report = (count: number, isSuspected: boolean) => {
+        sent = 0;
+        Array.from({ length: count }).forEach(() =>
+            exchange.turnedCold({ ...TARGET, service: "stock" }, 1_000, isSuspected),
+        );
+        return sent;
+    };
+    clock.advance(60_000);
+    expect([report(500, true), report(500, false)]).toEqual([120, 500]);
+    clock.advance(1_000);
+    expect(report(500, true)).toBe(30);
+});
+
 describe("a target's limit", () => {
     it("is the lower one of what it states and what follows from its warm-up", () => {
         const clock = new ManualClock();
--- a/src/process/gateway/__tests__/warmupWatch.test.ts
+++ b/src/process/gateway/__tests__/warmupWatch.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from "../../../../test/support/manualClock.js";
-import { WarmupWatch, type ColdCause } from "../warmupWatch.js";
+import { SUSPICION_MS, WarmupWatch, type ColdCause } from "../warmupWatch.js";
 
 const TARGET = { id: "t1", service: "stock", startedAtMs: 1 };
 const WARMUP_MS = 10_000;
@@ -168,3 +168,28 @@
     answer(1_000, 1e300);
     expect(leftMs()).toBe(3_600_000);
 });
+
+describe("a target whose connections were reset at another instance", () => {
+    // Guards against a rate without bound from instances without a request under way, and against a long bound on full targets.
+    it("is cold for a short time, unless it answers a request from before", () => {
+        const { clock, watch, read, answer, leftMs } = createWatch();
+        read(0);
+        const sentAt = clock.monotonicMs() - 10;
+        watch.reported(TARGET, WARMUP_MS, true);
+        clock.advance(300);
+        expect(leftMs()).toBe(SUSPICION_MS - 300);
+        answer(sentAt);
+        expect(leftMs()).toBe(0);
+    });
+
+    // Guards against a bound that ends with the suspicion at the instances that haven't heard the target's own statement.
+    it("is told again to be cold once it states that it is", () => {
+        const { clock, watch, causes, read, answer } = createWatch();
+        read(0);
+        watch.reported(TARGET, WARMUP_MS, true);
+        clock.advance(100);
+        answer(clock.monotonicMs() - 50, 9_000);
+        answer(clock.monotonicMs() - 50, 8_900);
+        expect(causes).toEqual(["report", "answer"]);
+    });
+});
