Prefer a wait for room to a refusal by a target with a limit

A request for which room was expected was refused if a target with a stated limit refused it, too. A test guards the shares of a weighted route: what has no room at one backend is refused, and the other one gets no more than its share.

--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -180,7 +180,8 @@
         }
         // Targets with limits are in need, so they are used only where the others can't serve the caller.
         const admitting = targets.filter(target => target.limit !== undefined && !query.limited.has(target));
-        return this.choose(admitting, query) ?? placement;
+        const limited = this.choose(admitting, query);
+        return placement?.type === "room" && limited?.type !== "target" ? placement : (limited ?? placement);
     }
 
     /** Chooses among targets any of which may run a request; `undefined` if there are none. */
--- a/test/failure/roomWaits.test.ts
+++ b/test/failure/roomWaits.test.ts
@@ -6,7 +6,11 @@
 /** Requests that an instance gives a target of one slot before it takes it as full. */
 const FULL = 2;
 const TARGET_LATENCY_MS = 4_000;
-const ROUTES = [["busy", "shop.example", "/busy/", "non_idempotent", 9_000, TARGET_LATENCY_MS, 1, "stock", 3, null]];
+const BACKENDS = ["stock", "other"].map(service => ({ service, weight: 1 }));
+const ROUTES = [
+    ["busy", "shop.example", "/busy/", "non_idempotent", 9_000, TARGET_LATENCY_MS, 1, "stock", 3, null],
+    ["split", "shop.example", "/split/", "non_idempotent", 1_500, 400, 1, "stock", 3, BACKENDS],
+];
 
 describe("a request that waits for room at a full target", () => {
     let harness: GatewayHarness;
@@ -89,6 +93,17 @@
         ]);
     });
 
+    it("guards against a backend of a weighted route that gets the requests for which another has no room", async () => {
+        harness.putTarget("t2", targets[1], "other");
+        const split = async () => (await harness.request("POST", "/split/1", { deadlineMs: 1_400 })).status;
+        await waitFor(async () => (await split()) === 200);
+        const served = targets[1].arrivals.length;
+        const statuses = await Promise.all(Array.from({ length: 6 }, split));
+        expect(statuses.sort()).toEqual([200, 200, 200, 503, 503, 503]);
+        expect(targets[1].arrivals).toHaveLength(served + 3);
+        expect(targets[0].arrivals).toHaveLength(FULL);
+    });
+
     it("guards against waits without an end for a target that hangs", async () => {
         const began = performance.now();
         const answers = await Promise.all([ask("hung-1", 2_000), ask("hung-2", 2_000)]);
