Replay the hot key at ten times the capacity of its owner

The replayed key belongs to a slow target that serves 4.9 requests a second, so the load was 16 times its capacity, not ten times as stated.

--- a/src/process/gateway/__tests__/roomReplay.test.ts
+++ b/src/process/gateway/__tests__/roomReplay.test.ts
@@ -59,8 +59,8 @@
         ].map(scaled),
         factor: (_, at, domain) => 1.5 + 0.55 * Math.sin((2 * Math.PI * at) / 13_000 + (2 * Math.PI * domain) / 3),
     },
-    // An owner serves about 8 requests a second.
-    "a key that is asked for at ten times the capacity of its owner": { ...KEYED, hotShare: 0.36 },
+    // The owner is one of the slow targets: 3 slots, work of 263 ms, a speed of 0.6, and slowdowns of 1.4 on average give 4.9 a second.
+    "a key that is asked for at ten times the capacity of its owner": { ...KEYED, hotShare: 0.22 },
 };
 
 /** Sums of the results by kind over some seeds. */
--- a/src/process/gateway/decideRoom.ts
+++ b/src/process/gateway/decideRoom.ts
@@ -11,7 +11,7 @@
 const MIN_WORK_FACTOR = 0.5;
 /** Share of its time left after which a caller doesn't return, less a margin. */
 const CALLER_LEFT_SHARE = 0.32;
-/** Exponent on the share of waits that succeed; with 1, a third of the attempts of a kind in a burst waited long in vain. */
+/** Exponent on the share of waits that succeed; with 1, a burst had 0.37 refusals after a long wait for each request, with 2 0.23. */
 const WAIT_CAUTION = 2;
 /** Shortest wait in milliseconds; rounding errors would otherwise make a wait of no time that is repeated. */
 const MIN_WAIT_MS = 1;
