--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -182,7 +182,8 @@
         }
         // Targets with limits are in need or cold, so they are used only where the others can't serve the caller.
         const admitting = targets.filter(target => target.limit !== undefined && !query.limited.has(target));
-        return this.choose(admitting, query) ?? placement;
+        const limited = this.choose(admitting, query);
+        return placement?.type === "room" && limited?.type !== "target" ? placement : (limited ?? placement);
     }
 
     /**
