Bound what an instance buffers for slow callers and targets

Answers that were handed over and not read, also those behind a pending answer of their connection, weren't counted. Bodies were bounded by 64 MB, but their pieces were kept beside the whole body, and those of callers that had left weren't counted while their requests ran on at a target.

StreamMemory is the account of the process: bodies and unread answers may take 30 MB together, with answers that are held until they are complete 40 MB. A body beyond that is refused as not run; of unread answers, the one without progress for the longest time is reset. One target is handed 8 MB of bodies at a time.

--- a/src/connection/__tests__/targetConnections.test.ts
+++ b/src/connection/__tests__/targetConnections.test.ts
@@ -3,9 +3,11 @@
 import { advanceInSteps } from "../../../test/support/advanceInSteps.js";
 import { ManualClock } from "../../../test/support/manualClock.js";
 import { startScriptedTarget } from "../../../test/support/scriptedTarget.js";
+import { waitFor } from "../../../test/support/waitFor.js";
 import { systemClock } from "../../process/runtime/clock.js";
 import type { Header } from "../peerProtocol.js";
-import { TargetConnections, type TargetFailure } from "../targetConnections.js";
+import { StreamMemory } from "../streamMemory.js";
+import { MAX_BODY_BYTES_AT_TARGET, TargetConnections, type TargetFailure } from "../targetConnections.js";
 
 const REQUEST = { method: "GET", path: "/", headers: {}, body: new Uint8Array() };
 
@@ -265,3 +267,36 @@
         expect(connections.size).toBe(0);
     },
 );
+
+// A target that reads nothing held the bodies of all requests that were sent to it.
+test("guards against bodies without a bound at a target that reads nothing", async () => {
+    const target = await startScriptedTarget(() => undefined);
+    const memory = new StreamMemory();
+    const connections = new TargetConnections(target.address, systemClock, { memory });
+    disposals.push(() => connections.dispose(), target.dispose);
+    const failures: TargetFailure[] = [];
+    let sent = 0;
+    const body = () => Buffer.alloc(MAX_BODY_BYTES_AT_TARGET / 4 + 1);
+    const post = (given: Buffer) =>
+        connections.send(
+            { ...REQUEST, method: "POST", body: given },
+            {
+                sent: () => sent++,
+                head: () => undefined,
+                data: () => undefined,
+                end: () => undefined,
+                failed: failure => void failures.push(failure),
+            },
+            { fresh: true },
+        );
+    const requests = Array.from({ length: 5 }, () => post(body()));
+    post(Buffer.alloc(0));
+    await waitFor(() => sent === 4 && failures.length === 2);
+    expect(failures.map(({ type }) => type)).toEqual(["connection-limit", "connection-limit"]);
+    expect(memory.bytes).toBe(3 * body().length);
+    requests.forEach(request => request.abort("the test ends"));
+    expect(memory.bytes).toBe(0);
+    // A body above the bound is sent if it is the only one.
+    post(Buffer.alloc(MAX_BODY_BYTES_AT_TARGET + 1));
+    await waitFor(() => sent === 5);
+});
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -10,6 +10,7 @@
 import { MergedWrites } from "./mergedWrites.js";
 import { handleClientErrors, writeLastProblem, writeProblem } from "./problemAnswer.js";
 import { RequestGate } from "./requestGate.js";
+import { processMemory, type StreamMemory, type UnreadAnswer } from "./streamMemory.js";
 
 /** Limits that apply until a config is known. */
 export const DEFAULT_CLIENT_LIMITS: ClientLimits = {
@@ -62,6 +63,10 @@
     cancel: (end: CallerEnd) => void;
     response: ServerResponse;
     turn: AnswerTurn;
+    /** What the caller hasn't read of the answer. */
+    unread: UnreadAnswer;
+    /** Frees the memory of the body and of the answer. */
+    release: () => void;
 }
 
 /** The state of one connection of a caller. */
@@ -154,8 +159,10 @@
     connectionLimit?: number;
     /** Maximum size of the request bodies that are buffered, for all requests together, in bytes. */
     maxBufferedBytes?: number;
+    /** Memory of all streams of the process. */
+    memory?: StreamMemory;
 }): GatewayServer => {
-    const { maxBufferedBytes = DEFAULT_MAX_BUFFERED_BYTES } = options;
+    const { maxBufferedBytes = DEFAULT_MAX_BUFFERED_BYTES, memory = processMemory } = options;
     let limits = DEFAULT_CLIENT_LIMITS;
     let draining = false;
     let bufferedBytes = 0;
@@ -195,6 +202,8 @@
         socket.once("close", () => {
             connections.delete(socket);
             cancelExchanges();
+            // Responses whose turn hasn't come aren't closed with their connection.
+            connection.exchanges.forEach(exchange => exchange.release());
         });
         return connection;
     };
@@ -210,8 +219,21 @@
     const replyTo = (
         connection: CallerConnection,
         request: IncomingMessage,
-        { response, turn }: Exchange,
+        { response, turn, unread }: Exchange,
     ): GatewayReply => {
+        /** Bytes that wait for the turn of the answer. */
+        let heldBytes = 0;
+        const measureUnread = () => {
+            if (!request.socket.destroyed && !response.writableFinished) {
+                memory.setUnread(unread, turn.isHeld ? heldBytes : response.writableLength);
+            }
+        };
+        const hold = (bytes: number) => {
+            if (turn.isHeld) {
+                heldBytes += bytes;
+                measureUnread();
+            }
+        };
         const closeAfterAnswer = () => {
             response.setHeader("connection", "close");
             gate.close(request.socket);
@@ -249,14 +271,15 @@
         };
         return {
             canClose: () => connection.exchanges.size === 1,
-            answer: (head, body) =>
+            answer: (head, body) => {
+                const bytes = body.reduce((sum, chunk) => sum + chunk.length, 0);
                 turn.run(() => {
-                    startAnswer(
-                        head,
-                        body.reduce((sum, chunk) => sum + chunk.length, 0),
-                    );
+                    startAnswer(head, bytes);
                     response.end(body.length === 1 ? body[0] : Buffer.concat(body));
-                }),
+                    measureUnread();
+                });
+                hold(bytes);
+            },
             refuse: refusal =>
                 turn.run(() => {
                     closeWhenDraining();
@@ -265,9 +288,12 @@
             stream: (head, onDrain): AnswerStream => {
                 turn.run(() => {
                     startAnswer(head);
-                    response.on("drain", onDrain);
+                    response.on("drain", () => {
+                        measureUnread();
+                        onDrain();
+                    });
                 });
-                const writes = new MergedWrites(response);
+                const writes = new MergedWrites(response, measureUnread);
                 return {
                     data: chunk => {
                         if (!turn.isHeld) {
@@ -277,7 +303,9 @@
                             if (response.write(chunk)) {
                                 onDrain();
                             }
+                            measureUnread();
                         });
+                        hold(chunk.length);
                         return false;
                     },
                     end: () =>
@@ -313,16 +341,35 @@
             cancel: () => (isReceiving = false),
             response,
             turn: new AnswerTurn(connection.exchanges.size === 0),
+            unread: { bytes: 0, since: 0, cut: () => request.socket.resetAndDestroy() },
+            release: () => undefined,
         };
         connection.exchanges.add(exchange);
         connection.idleAtBytes = undefined;
         response.sendDate = false;
         const reply = replyTo(connection, request, exchange);
         let bodyBytes = 0;
-        const chunks: Buffer[] = [];
-        const endExchange = () => {
+        let chunks: Buffer[] = [];
+        /** The part of the body that is counted apart from the whole one. */
+        let chunkBytes = 0;
+        let body: Buffer | undefined;
+        const releaseChunks = () => {
+            chunks = [];
+            memory.addBody(-chunkBytes);
+            chunkBytes = 0;
+        };
+        exchange.release = () => {
             bufferedBytes -= bodyBytes;
             bodyBytes = 0;
+            releaseChunks();
+            if (body !== undefined) {
+                memory.release(body);
+                body = undefined;
+            }
+            memory.setUnread(exchange.unread, 0);
+        };
+        const endExchange = () => {
+            exchange.release();
             connection.exchanges.delete(exchange);
             const [next] = connection.exchanges;
             if (next === undefined) {
@@ -340,12 +387,15 @@
             reply.refuse(refusal);
         };
         const start = () => {
+            body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+            releaseChunks();
+            memory.retain(body);
             const call: GatewayCall = {
                 method: request.method ?? "GET",
                 url: request.url ?? "/",
                 host: request.headers.host ?? "",
                 headers: forwardedHeaders(request, options.isReserved),
-                body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks),
+                body,
                 arrivedAt,
                 ...options.fieldsOf(request.headers),
             };
@@ -380,14 +430,17 @@
         }
         let isRefused = false;
         request.on("data", (chunk: Buffer) => {
-            if (isRefused) {
+            if (isRefused || request.socket.destroyed) {
                 return;
             }
             chunks.push(chunk);
             bodyBytes += chunk.length;
             bufferedBytes += chunk.length;
-            if (bodyBytes > limits.bodyBytes || bufferedBytes > maxBufferedBytes) {
+            chunkBytes += chunk.length;
+            memory.addBody(chunk.length);
+            if (bodyBytes > limits.bodyBytes || bufferedBytes > maxBufferedBytes || !memory.hasRoomForBodies()) {
                 isRefused = true;
+                releaseChunks();
                 refuseUnread(
                     bodyBytes > limits.bodyBytes
                         ? refuse("body-too-large", `The body has more than ${limits.bodyBytes} bytes.`)
--- a/src/connection/mergedWrites.ts
+++ b/src/connection/mergedWrites.ts
@@ -12,7 +12,11 @@
 export class MergedWrites {
     private parts: Uint8Array[] = [];
 
-    constructor(private readonly stream: Pick<Writable, "write" | "writableNeedDrain">) {}
+    constructor(
+        private readonly stream: Pick<Writable, "write" | "writableNeedDrain">,
+        /** Called after each write to the stream. */
+        private readonly written: () => void = () => undefined,
+    ) {}
 
     /** Returns whether the stream's buffer isn't full; `drain` is emitted when it has drained. */
     write(part: Uint8Array): boolean {
@@ -28,6 +32,7 @@
         this.parts = [];
         if (parts.length > 0) {
             this.stream.write(parts.length === 1 ? parts[0] : Buffer.concat(parts));
+            this.written();
         }
     }
 
--- /dev/null
+++ b/src/connection/streamMemory.ts
@@ -0,0 +1,135 @@
+/**
+ * Maximum size in bytes of what the process buffers for its streams. The smallest instance has 210 MB. An idle process takes 85 MB,
+ * and 64 MB of request bodies, with the memory that is freed late, took it to 211 MB.
+ */
+export const MAX_STREAM_BYTES = 41_943_040;
+/**
+ * Share of it that bodies of requests and answers that aren't read may take together. The rest is left for answers that arrive, so
+ * that other callers get theirs.
+ */
+const SLOW_SHARE = 0.75;
+/** Time without progress after which an answer that its caller doesn't read gives way to any other use, in milliseconds. */
+const STALE_MS = 1_000;
+
+/** Part of an answer that was handed over and that its caller hasn't read. */
+export interface UnreadAnswer {
+    bytes: number;
+    /** Monotonic time in milliseconds since which none of it was read. */
+    since: number;
+    /** Resets its connection. Its bytes are released before this returns. */
+    cut: () => void;
+}
+
+/**
+ * What the process buffers for slow callers and targets: bodies of requests, answers that are held until they are complete, and
+ * answers that their callers don't read. When that is more than the limit, answers of callers that have read nothing for the
+ * longest time are cut first.
+ *
+ * @example
+ * memory.addBody(chunk.length);
+ * if (!memory.hasRoomForBodies()) { refuse(); }
+ */
+export class StreamMemory {
+    /** Size of bodies and of answers that aren't read, in bytes. */
+    private slowBytes = 0;
+    /** Size of answers that are held until they are complete, in bytes. */
+    private heldBytes = 0;
+    /** Bodies that are in use, with the number of their uses. Each counts once. */
+    private readonly bodies = new Map<Uint8Array, number>();
+    private readonly unread = new Set<UnreadAnswer>();
+
+    constructor(
+        private readonly limitBytes = MAX_STREAM_BYTES,
+        private readonly now = () => performance.now(),
+    ) {}
+
+    /** Size of all that is buffered, in bytes. */
+    get bytes(): number {
+        return this.slowBytes + this.heldBytes;
+    }
+
+    /** Adds to the size of bodies that arrive, or subtracts from it if the number is negative. */
+    addBody(bytes: number): void {
+        this.slowBytes += bytes;
+    }
+
+    /** Likewise for answers that are held until they are complete. */
+    addHeld(bytes: number): void {
+        this.heldBytes += bytes;
+    }
+
+    /** Counts a body until it was released as often as it was retained. */
+    retain(body: Uint8Array): void {
+        if (body.length > 0) {
+            const uses = this.bodies.get(body) ?? 0;
+            this.bodies.set(body, uses + 1);
+            this.slowBytes += uses === 0 ? body.length : 0;
+        }
+    }
+
+    release(body: Uint8Array): void {
+        const uses = this.bodies.get(body);
+        if (uses === 1) {
+            this.bodies.delete(body);
+            this.slowBytes -= body.length;
+        } else if (uses !== undefined) {
+            this.bodies.set(body, uses - 1);
+        }
+    }
+
+    /** Sets how much of an answer is unread, and cuts answers if that is too much. */
+    setUnread(answer: UnreadAnswer, bytes: number): void {
+        const grows = bytes > answer.bytes;
+        this.slowBytes += bytes - answer.bytes;
+        if (answer.bytes === 0 || bytes < answer.bytes) {
+            answer.since = this.now();
+            this.unread.delete(answer);
+        }
+        answer.bytes = bytes;
+        if (bytes > 0) {
+            // Those without progress for the longest time come first.
+            this.unread.add(answer);
+        }
+        if (grows) {
+            this.cutUnread(
+                () => this.hasRoom,
+                () => true,
+            );
+        }
+    }
+
+    /** Whether there is room for answers that arrive. Cuts answers that their callers have stopped reading if there is none. */
+    hasRoomForAnswers(): boolean {
+        return this.makeRoom(() => this.bytes <= this.limitBytes);
+    }
+
+    /** Whether there is room for bodies of requests, likewise. */
+    hasRoomForBodies(): boolean {
+        return this.makeRoom(() => this.hasRoom);
+    }
+
+    /** Whether neither the slow streams nor all together take more than they may. */
+    private get hasRoom(): boolean {
+        return this.slowBytes <= this.limitBytes * SLOW_SHARE && this.bytes <= this.limitBytes;
+    }
+
+    private makeRoom(suffices: () => boolean): boolean {
+        const staleSince = this.now() - STALE_MS;
+        this.cutUnread(suffices, ({ since }) => since <= staleSince);
+        return suffices();
+    }
+
+    /** Cuts answers until that suffices, those without progress for the longest time first. */
+    private cutUnread(suffices: () => boolean, mayCut: (answer: UnreadAnswer) => boolean): void {
+        for (const answer of this.unread) {
+            if (suffices() || !mayCut(answer)) {
+                return;
+            }
+            this.setUnread(answer, 0);
+            answer.cut();
+        }
+    }
+}
+
+/** Memory of all streams of this process. */
+export const processMemory = new StreamMemory();
--- a/src/connection/targetConnections.ts
+++ b/src/connection/targetConnections.ts
@@ -6,6 +6,7 @@
 import { resettingConnector } from "./resettingConnector.js";
 import { classifyResponse, InvalidStatusError } from "./responseStatus.js";
 import { spreadReads } from "./spreadReads.js";
+import { processMemory, type StreamMemory } from "./streamMemory.js";
 
 /** Idle time after which a connection to a target is closed instead of reused, in milliseconds. */
 export const DEFAULT_IDLE_LIMIT_MS = 10_000;
@@ -14,6 +15,12 @@
 /** Maximum number of connections of one `TargetConnections`. */
 export const DEFAULT_CONNECTION_LIMIT = 128;
 
+/**
+ * Maximum size in bytes of the request bodies that one target is handed at a time, as a target that reads nothing would hold all of
+ * them. A larger body is sent while no other one is.
+ */
+export const MAX_BODY_BYTES_AT_TARGET = 8_388_608;
+
 /** Maximum size in bytes of what surrounds the content of an answer, apart from `MAX_FRAMING_RATIO`. */
 const MAX_FRAMING_BYTES = 262_144;
 /** Maximum ratio of an answer's bytes to its content. Chunks of a single byte have a ratio of 6. */
@@ -141,6 +148,8 @@
     private readonly connections = new Set<TargetConnection>();
     private readonly idle: TargetConnection[] = [];
     private disposed = false;
+    /** Size of the request bodies that the target was handed and whose requests haven't ended, in bytes. */
+    private bodyBytes = 0;
     private readonly hasValidAddress: boolean;
     private readonly limit: number;
     /** Requests that wait until a connection is free. `send` doesn't consult it. */
@@ -151,7 +160,7 @@
     constructor(
         private readonly address: string,
         private readonly clock: Clock,
-        private readonly options: { connectTimeoutMs?: number; limit?: number } = {},
+        private readonly options: { connectTimeoutMs?: number; limit?: number; memory?: StreamMemory } = {},
     ) {
         this.limit = options.limit ?? DEFAULT_CONNECTION_LIMIT;
         this.hasValidAddress = URL.canParse(originOf(address));
@@ -160,20 +169,34 @@
     /**
      * Sends a request on an idle connection, or on a new one if there is none or `fresh` is set. Connections idle for
      * more than `maxIdleMs` are closed, as the target may be about to close them. At the limit an idle connection is
-     * closed to open a new one; if none is idle, the request fails with `connection-limit` before it is sent. At an address
-     * that isn't valid, each request fails before it is sent.
+     * closed to open a new one; if none is idle, the request fails with `connection-limit` before it is sent. So does one whose
+     * body, with those that the target was handed, is too large. At an address that isn't valid, each request fails before it is
+     * sent.
      */
     send(request: TargetRequest, answer: TargetAnswer, options: { fresh: boolean; maxIdleMs?: number }): SentRequest {
         if (!this.hasValidAddress) {
             const detail = `${this.address} isn't a host and a port; correct the entry of the target.`;
             return this.failUnsent(answer, { type: "broken", refused: false, detail });
         }
+        const { body } = request;
+        if (this.bodyBytes > 0 && this.bodyBytes + body.length > MAX_BODY_BYTES_AT_TARGET && body.length > 0) {
+            const detail = `The target was handed ${this.bodyBytes} bytes of bodies that it hasn't answered.`;
+            return this.failUnsent(answer, { type: "connection-limit", refused: false, detail });
+        }
         const connection = (options.fresh ? undefined : this.takeIdle(options.maxIdleMs)) ?? this.openWithinLimit();
         if (connection === undefined) {
             const detail = "The connection limit of the target is reached; raise connections-per-target.";
             return this.failUnsent(answer, { type: "connection-limit", refused: false, detail });
         }
         connection.idle = false;
+        const { memory = processMemory } = this.options;
+        this.bodyBytes += body.length;
+        memory.retain(body);
+        const settle = () => {
+            settled = true;
+            this.bodyBytes -= body.length;
+            memory.release(body);
+        };
         let controller: Dispatcher.DispatchController | undefined;
         let abortReason: string | undefined;
         let settled = false;
@@ -181,7 +204,7 @@
             if (settled) {
                 return;
             }
-            settled = true;
+            settle();
             this.discard(connection);
             const failure = describeFailure(error);
             answer.failed(abortReason === undefined ? failure : { ...failure, type: "aborted", detail: abortReason });
@@ -218,13 +241,13 @@
                     fail(new Error("the connection was reset during the answer"));
                     return;
                 }
-                settled = true;
+                settle();
                 this.release(connection);
                 answer.end();
             },
             onResponseError: (_controller, error) => fail(error),
         };
-        const { method, path, headers, body } = request;
+        const { method, path, headers } = request;
         connection.client.dispatch(
             { method: method as Dispatcher.HttpMethod, path, headers, body: body.length === 0 ? null : body },
             handler,
--- a/src/request/heldAnswers.ts
+++ b/src/request/heldAnswers.ts
@@ -1,3 +1,5 @@
+import { processMemory, type StreamMemory } from "../connection/streamMemory.js";
+
 /** Maximum size of one answer that is held until it is complete, in bytes. */
 export const MAX_HELD_ANSWER_BYTES = 1_048_576;
 /** Maximum size of all answers that the process holds, in bytes. */
@@ -9,15 +11,19 @@
 export class HeldAnswers {
     private bytes = 0;
 
-    constructor(private readonly limitBytes = MAX_HELD_BYTES) {}
+    constructor(
+        private readonly limitBytes = MAX_HELD_BYTES,
+        private readonly memory: StreamMemory = processMemory,
+    ) {}
 
     /** Creates an empty answer. */
     create(): HeldAnswer {
         return new HeldAnswer(
             change => {
                 this.bytes += change;
+                this.memory.addHeld(change);
             },
-            () => this.bytes > this.limitBytes,
+            () => this.bytes > this.limitBytes || !this.memory.hasRoomForAnswers(),
         );
     }
 }
--- a/test/support/gatewayBundle.ts
+++ b/test/support/gatewayBundle.ts
@@ -92,6 +92,12 @@
         return Number(/VmRSS:\s*(\d+)/.exec(status)?.[1]) / 1_024;
     }
 
+    /** Highest resident memory of the process so far in megabytes, where the operating system states it. */
+    peakMb(): number {
+        const status = readFileSync(`/proc/${this.child?.pid}/status`, "utf8");
+        return Number(/VmHWM:\s*(\d+)/.exec(status)?.[1]) / 1_024;
+    }
+
     dispose(): void {
         this.child?.kill("SIGKILL");
         this.service.dispose();
