Have uploads whose rest doesn't come give way to others

Nothing bounds how long a body may take to arrive, so 40 uploads of 1 MB whose last byte didn't come took all memory for bodies until their callers left, and each further body was refused. A body of which nothing came for 1 s now gives way when another one needs its room. It is refused with 408; nothing of it was sent.

--- a/src/connection/__tests__/streamMemory.test.ts
+++ b/src/connection/__tests__/streamMemory.test.ts
@@ -1,5 +1,5 @@
 import { HeldAnswers } from "../../request/heldAnswers.js";
-import { StreamMemory, type UnreadAnswer } from "../streamMemory.js";
+import { StreamMemory, type CallerStream } from "../streamMemory.js";
 
 const LIMIT = 1_000;
 
@@ -14,7 +14,7 @@
         memory = new StreamMemory(LIMIT, () => now);
     });
 
-    const unread = (name: string): UnreadAnswer => ({ bytes: 0, since: 0, cut: () => void cut.push(name) });
+    const stream = (name: string): CallerStream => ({ bytes: 0, since: 0, cut: () => void cut.push(name) });
 
     it("guards against a body that counts twice, or no longer while its target still has it", () => {
         const body = Buffer.alloc(400);
@@ -29,7 +29,7 @@
     });
 
     it("cuts the answers without progress for the longest time when those that aren't read take more than their share", () => {
-        const [first, second, third] = ["first", "second", "third"].map(unread);
+        const [first, second, third] = ["first", "second", "third"].map(stream);
         memory.setUnread(first, 300);
         now = 10;
         memory.setUnread(second, 300);
@@ -42,15 +42,15 @@
     });
 
     it("guards against a body that takes the place of answers that are still being read", () => {
-        memory.setUnread(unread("fresh"), 700);
-        memory.addBody(100);
+        memory.setUnread(stream("fresh"), 700);
+        memory.retain(Buffer.alloc(100));
         expect([memory.hasRoomForBodies(), cut]).toEqual([false, []]);
         now = 1_001;
         expect([memory.hasRoomForBodies(), cut]).toEqual([true, ["fresh"]]);
     });
 
     it("guards against bodies because of which the answers of other callers can't be held", () => {
-        memory.addBody(760);
+        memory.retain(Buffer.alloc(760));
         expect(memory.hasRoomForBodies()).toBe(false);
         const answers = new HeldAnswers(LIMIT, memory);
         const answer = answers.create();
@@ -62,11 +62,23 @@
         expect(memory.bytes).toBe(760);
     });
 
+    it("guards against bodies that don't end because of which no other body is taken", () => {
+        memory.setArrived(stream("stalled"), 500);
+        memory.setArrived(stream("going on"), 100);
+        const upload = stream("arriving");
+        memory.setArrived(upload, 200);
+        expect([memory.hasRoomForBodies(), cut]).toEqual([false, []]);
+        now = 1_001;
+        memory.setArrived(upload, 220);
+        expect([memory.hasRoomForBodies(), cut]).toEqual([true, ["stalled"]]);
+        expect(memory.bytes).toBe(320);
+    });
+
     it("guards against answers that are cut although only those that arrive take much", () => {
         memory.addHeld(800);
-        memory.setUnread(unread("streamed"), 100);
+        memory.setUnread(stream("streamed"), 100);
         expect(cut).toEqual([]);
-        memory.setUnread(unread("next"), 150);
+        memory.setUnread(stream("next"), 150);
         expect(cut).toEqual(["streamed"]);
     });
 });
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -10,7 +10,7 @@
 import { MergedWrites } from "./mergedWrites.js";
 import { handleClientErrors, writeLastProblem, writeProblem } from "./problemAnswer.js";
 import { RequestGate } from "./requestGate.js";
-import { processMemory, type StreamMemory, type UnreadAnswer } from "./streamMemory.js";
+import { processMemory, type StreamMemory, type CallerStream } from "./streamMemory.js";
 
 /** Limits that apply until a config is known. */
 export const DEFAULT_CLIENT_LIMITS: ClientLimits = {
@@ -64,7 +64,7 @@
     response: ServerResponse;
     turn: AnswerTurn;
     /** What the caller hasn't read of the answer. */
-    unread: UnreadAnswer;
+    unread: CallerStream;
     /** Frees the memory of the body and of the answer. */
     release: () => void;
 }
@@ -350,13 +350,21 @@
         const reply = replyTo(connection, request, exchange);
         let bodyBytes = 0;
         let chunks: Buffer[] = [];
-        /** The part of the body that is counted apart from the whole one. */
-        let chunkBytes = 0;
+        let isRefused = false;
+        /** What has arrived of the body while it isn't whole. */
+        const arriving: CallerStream = {
+            bytes: 0,
+            since: 0,
+            cut: () => {
+                isRefused = true;
+                releaseChunks();
+                refuseUnread(refuse("request-timeout", "The rest of the request did not come."));
+            },
+        };
         let body: Buffer | undefined;
         const releaseChunks = () => {
             chunks = [];
-            memory.addBody(-chunkBytes);
-            chunkBytes = 0;
+            memory.setArrived(arriving, 0);
         };
         exchange.release = () => {
             bufferedBytes -= bodyBytes;
@@ -428,7 +436,6 @@
             start();
             return;
         }
-        let isRefused = false;
         request.on("data", (chunk: Buffer) => {
             if (isRefused || request.socket.destroyed) {
                 return;
@@ -436,8 +443,7 @@
             chunks.push(chunk);
             bodyBytes += chunk.length;
             bufferedBytes += chunk.length;
-            chunkBytes += chunk.length;
-            memory.addBody(chunk.length);
+            memory.setArrived(arriving, arriving.bytes + chunk.length);
             if (bodyBytes > limits.bodyBytes || bufferedBytes > maxBufferedBytes || !memory.hasRoomForBodies()) {
                 isRefused = true;
                 releaseChunks();
--- a/src/connection/streamMemory.ts
+++ b/src/connection/streamMemory.ts
@@ -8,25 +8,25 @@
  * that other callers get theirs.
  */
 const SLOW_SHARE = 0.75;
-/** Time without progress after which an answer that its caller doesn't read gives way to any other use, in milliseconds. */
+/** Time without progress after which a stream of a caller gives way to any other use, in milliseconds. */
 const STALE_MS = 1_000;
 
-/** Part of an answer that was handed over and that its caller hasn't read. */
-export interface UnreadAnswer {
+/** What is buffered for a caller: the part of an answer that it hasn't read, or the part of a body that it has sent. */
+export interface CallerStream {
     bytes: number;
-    /** Monotonic time in milliseconds since which none of it was read. */
+    /** Monotonic time in milliseconds since which the caller has read or sent none of it. */
     since: number;
-    /** Resets its connection. Its bytes are released before this returns. */
+    /** Ends it. Its bytes are subtracted before. */
     cut: () => void;
 }
 
 /**
  * What the process buffers for slow callers and targets: bodies of requests, answers that are held until they are complete, and
- * answers that their callers don't read. When that is more than the limit, answers of callers that have read nothing for the
- * longest time are cut first.
+ * answers that their callers don't read. When that is more than the limit, callers that have read or sent nothing for the longest
+ * time are cut first.
  *
  * @example
- * memory.addBody(chunk.length);
+ * memory.setArrived(body, bytes);
  * if (!memory.hasRoomForBodies()) { refuse(); }
  */
 export class StreamMemory {
@@ -36,7 +36,8 @@
     private heldBytes = 0;
     /** Bodies that are in use, with the number of their uses. Each counts once. */
     private readonly bodies = new Map<Uint8Array, number>();
-    private readonly unread = new Set<UnreadAnswer>();
+    /** Those without progress for the longest time come first. */
+    private readonly streams = new Set<CallerStream>();
 
     constructor(
         private readonly limitBytes = MAX_STREAM_BYTES,
@@ -48,16 +49,22 @@
         return this.slowBytes + this.heldBytes;
     }
 
-    /** Adds to the size of bodies that arrive, or subtracts from it if the number is negative. */
-    addBody(bytes: number): void {
-        this.slowBytes += bytes;
-    }
-
-    /** Likewise for answers that are held until they are complete. */
+    /** Adds to the size of answers that are held until they are complete, or subtracts from it if the number is negative. */
     addHeld(bytes: number): void {
         this.heldBytes += bytes;
     }
 
+    /** Sets how much of a body has arrived that isn't whole; 0 if it is or isn't needed. */
+    setArrived(body: CallerStream, bytes: number): void {
+        this.slowBytes += bytes - body.bytes;
+        body.bytes = bytes;
+        body.since = this.now();
+        this.streams.delete(body);
+        if (bytes > 0) {
+            this.streams.add(body);
+        }
+    }
+
     /** Counts a body until it was released as often as it was retained. */
     retain(body: Uint8Array): void {
         if (body.length > 0) {
@@ -77,28 +84,27 @@
         }
     }
 
-    /** Sets how much of an answer is unread, and cuts answers if that is too much. */
-    setUnread(answer: UnreadAnswer, bytes: number): void {
+    /** Sets how much of an answer is unread, and cuts streams if that is too much. */
+    setUnread(answer: CallerStream, bytes: number): void {
         const grows = bytes > answer.bytes;
         this.slowBytes += bytes - answer.bytes;
         if (answer.bytes === 0 || bytes < answer.bytes) {
             answer.since = this.now();
-            this.unread.delete(answer);
+            this.streams.delete(answer);
         }
         answer.bytes = bytes;
         if (bytes > 0) {
-            // Those without progress for the longest time come first.
-            this.unread.add(answer);
+            this.streams.add(answer);
         }
         if (grows) {
-            this.cutUnread(
+            this.cutStreams(
                 () => this.hasRoom,
                 () => true,
             );
         }
     }
 
-    /** Whether there is room for answers that arrive. Cuts answers that their callers have stopped reading if there is none. */
+    /** Whether there is room for answers that arrive. Cuts streams without progress if there is none. */
     hasRoomForAnswers(): boolean {
         return this.makeRoom(() => this.bytes <= this.limitBytes);
     }
@@ -115,18 +121,20 @@
 
     private makeRoom(suffices: () => boolean): boolean {
         const staleSince = this.now() - STALE_MS;
-        this.cutUnread(suffices, ({ since }) => since <= staleSince);
+        this.cutStreams(suffices, ({ since }) => since <= staleSince);
         return suffices();
     }
 
-    /** Cuts answers until that suffices, those without progress for the longest time first. */
-    private cutUnread(suffices: () => boolean, mayCut: (answer: UnreadAnswer) => boolean): void {
-        for (const answer of this.unread) {
-            if (suffices() || !mayCut(answer)) {
+    /** Cuts streams until that suffices, those without progress for the longest time first. */
+    private cutStreams(suffices: () => boolean, mayCut: (stream: CallerStream) => boolean): void {
+        for (const stream of this.streams) {
+            if (suffices() || !mayCut(stream)) {
                 return;
             }
-            this.setUnread(answer, 0);
-            answer.cut();
+            this.streams.delete(stream);
+            this.slowBytes -= stream.bytes;
+            stream.bytes = 0;
+            stream.cut();
         }
     }
 }
