Take a large body that is the only slow stream of an instance

The bound on buffered bodies refused each body of over 30 MB on every instance, although callers may send 64 MB. One that is alone is taken again.

--- a/src/connection/__tests__/streamMemory.test.ts
+++ b/src/connection/__tests__/streamMemory.test.ts
@@ -74,6 +74,14 @@
         expect(memory.bytes).toBe(320);
     });
 
+    it("guards against a large body that no instance takes, although it is the only one", () => {
+        const upload = stream("arriving");
+        memory.setArrived(upload, 900);
+        expect([memory.hasRoomForBodies(upload), memory.hasRoomForBodies()]).toEqual([true, false]);
+        memory.setArrived(stream("other"), 1);
+        expect(memory.hasRoomForBodies(upload)).toBe(false);
+    });
+
     it("guards against answers that are cut although only those that arrive take much", () => {
         memory.addHeld(800);
         memory.setUnread(stream("streamed"), 100);
--- a/src/connection/gatewayServer.ts
+++ b/src/connection/gatewayServer.ts
@@ -444,7 +444,11 @@
             bodyBytes += chunk.length;
             bufferedBytes += chunk.length;
             memory.setArrived(arriving, arriving.bytes + chunk.length);
-            if (bodyBytes > limits.bodyBytes || bufferedBytes > maxBufferedBytes || !memory.hasRoomForBodies()) {
+            if (
+                bodyBytes > limits.bodyBytes ||
+                bufferedBytes > maxBufferedBytes ||
+                !memory.hasRoomForBodies(arriving)
+            ) {
                 isRefused = true;
                 releaseChunks();
                 refuseUnread(
--- a/src/connection/streamMemory.ts
+++ b/src/connection/streamMemory.ts
@@ -27,7 +27,7 @@
  *
  * @example
  * memory.setArrived(body, bytes);
- * if (!memory.hasRoomForBodies()) { refuse(); }
+ * if (!memory.hasRoomForBodies(body)) { refuse(); }
  */
 export class StreamMemory {
     /** Size of bodies and of answers that aren't read, in bytes. */
@@ -109,9 +109,12 @@
         return this.makeRoom(() => this.bytes <= this.limitBytes);
     }
 
-    /** Whether there is room for bodies of requests, likewise. */
-    hasRoomForBodies(): boolean {
-        return this.makeRoom(() => this.hasRoom);
+    /**
+     * Whether there is room for bodies of requests, likewise. A body that is the only slow stream may be larger, since the limits for
+     * callers allow it and no other instance could take it either.
+     */
+    hasRoomForBodies(body?: CallerStream): boolean {
+        return this.makeRoom(() => this.hasRoom || (body !== undefined && this.slowBytes === body.bytes));
     }
 
     /** Whether neither the slow streams nor all together take more than they may. */
--- a/src/process/gateway/targetPlacement.ts
+++ b/src/process/gateway/targetPlacement.ts
@@ -260,7 +260,8 @@
         const { rooms, random } = this.view;
         const { call, route, leftMs, stopsInMs, waitedMs = 0 } = query;
         const candidate = target.candidate();
-        const neededMs = expectedMs(candidate);
+        // An estimate by the loads of other targets would refuse requests at idle ones while the service is busy.
+        const neededMs = expectedMs({ ...candidate, load: target.load() });
         const state = rooms?.stateOf(target, query) ?? UNSHARED;
         const decision = decideRoom({
             ...state,
