--- a/src/process/gateway/decideRoom.ts
+++ b/src/process/gateway/decideRoom.ts
@@ -3,9 +3,9 @@
 
 /** Share of a service's requests from which on a more urgent route keeps its whole room; one that is asked for less keeps a part. */
 const FULL_RESERVE_SHARE = 1 / STARTS_PER_LOWER_START;
-/** Share of the target latency after which a waiting request may use its time left; a refusal then costs its caller. */
+/** Share of the target latency after which a waiting request may use its time left: a refusal would leave its caller little time. */
 export const COSTLY_WAIT_SHARE = 0.125;
-/** Share of the target latency after which a wait goes on only if room is likely; a refusal then costs nothing yet. */
+/** Share of the target latency after which a wait goes on only if room is likely; a refusal until then delays its caller little. */
 const TRIAL_WAIT_SHARE = 0.12;
 /** Least part of its allowed time that a request keeps which needs more work than others of its priority. */
 const MIN_WORK_FACTOR = 0.5;
@@ -33,7 +33,7 @@
     share: number;
 }
 
-/** What an instance knows of the competition for a target. */
+/** The competition for a target, as seen by an instance. */
 export interface RoomState {
     /** Whether the routes of the service have several priorities. */
     hasPriorities: boolean;
@@ -48,7 +48,7 @@
     ahead: number;
     /** Share of the long waits of the route's priority that ended with a send recently. */
     waitSuccess: number;
-    /** Number of callers that were refused because of the target and haven't been told to return yet. */
+    /** Number of callers that were refused because of the target and whose Retry-After hasn't passed. */
     refusedBefore: number;
 }
 
@@ -152,7 +152,7 @@
 
 /**
  * Delay after which room is expected for a refused caller: the excess of the backlog, and the callers that were refused before. It
- * leaves the caller time for the work, as one that is told to return later than it can loses its request.
+ * leaves the caller time for the work: a caller whose Retry-After exceeds its time left doesn't return.
  */
 const delayMs = (input: RoomInput, excessMs: number): number => {
     const { serviceMs, slots, refusedBefore, callerLeftMs } = input;
--- a/src/process/gateway/estimateLoad.ts
+++ b/src/process/gateway/estimateLoad.ts
@@ -1,4 +1,4 @@
-/** What an instance knows of the load of a target. Times are in milliseconds, loads in requests that run or wait. */
+/** Evidence of the load of a target. Times are in milliseconds, loads in requests that run or wait. */
 export interface LoadEvidence {
     /** Requests of this instance that are in flight at the target. */
     own: number;
--- a/src/process/gateway/gatewayTarget.ts
+++ b/src/process/gateway/gatewayTarget.ts
@@ -29,7 +29,7 @@
 const MIN_SUSPICION_MS = 400;
 const MAX_SUSPICION_MS = 3_000;
 
-/** Share of a saturated target's capacity that all instances together use while none knows whether it has room. */
+/** Share of a saturated target's capacity that the probes of all instances use together. */
 const PROBED_CAPACITY = 0.9;
 /** Share of the queue from which a target counts as saturated; probes are sent to it only then. */
 const SATURATED_QUEUE_SHARE = 0.5;
