Take a free lease without a pause

An instance that found no lease paused for up to 60 ms before it took it, to save calls at the start of many.

--- a/src/process/gateway/assignerLease.ts
+++ b/src/process/gateway/assignerLease.ts
@@ -29,11 +29,6 @@
 const WATCH_MS = 5_000;
 /** The same while messages of the holder show that it holds the lease; their end has the lease read at once. */
 const HEARD_WATCH_MS = 60_000;
-/**
- * Time in milliseconds over which instances that find no lease look at it again before they acquire it. At the start of all
- * instances one of them acquires it first, and the others need no write.
- */
-const ACQUIRE_SPREAD_MS = 60;
 /** Time in milliseconds over which the reads of the instances are spread when the lease of a silent holder expires. */
 const EXPIRY_SPREAD_MS = 500;
 /** Minimum interval between reads that are made before they are due, in milliseconds. */
@@ -397,9 +392,7 @@
                 return this.earlierErasEndAt - now;
             }
             this.holderAddress = undefined;
-            const isFirstLook = this.freeSince === undefined;
-            this.freeSince ??= now;
-            return isFirstLook ? ACQUIRE_SPREAD_MS * (this.options.random ?? Math.random)() : this.acquire();
+            return this.acquire();
         }
         // Only one process at a time runs under an instance's name, so an earlier one with this name has ended.
         const isFree = lease.instance === instance;
