--- a/src/process/gateway/__tests__/completeUntil.test.ts
+++ b/src/process/gateway/__tests__/completeUntil.test.ts
@@ -56,6 +56,9 @@
     it("is that of the message before if changes are relayed", async () => {
         const { store, clock, follower, before } = await start(["a"]);
         store.fault = "down";
+        // The call under way may still be answered, later than the time of the first message.
+        await new Promise(resolve => setTimeout(resolve, 5));
+        await advanceInSteps(clock, 100);
         const relay = (from: number, keys: readonly string[]) =>
             follower.relayed({
                 ...{ table: "t", era: 0, from, to: from + 1, ageMs: 40 },
