--- a/src/process/gateway/planMoves.ts
+++ b/src/process/gateway/planMoves.ts
@@ -452,7 +452,7 @@
     ranges.forEach(range => rangesOf.set(ownerName(range), [...(rangesOf.get(ownerName(range)) ?? []), range]));
     const hasWarm = receivers.some(({ isCold, isFailing }) => isCold !== true && isFailing !== true);
     const isHeldBack = ({ isCold }: PlannedTarget) => hasWarm && isCold === true;
-    // A cold target without keys gets none for now, so the others share the load among them.
+    // A cold target without keys gets none while it is cold, so the others share the load.
     const takesPart = (target: PlannedTarget) => !isHeldBack(target) || rangesOf.has(processName(target));
     const capacity = capacityOf(receivers.filter(takesPart));
     const holdings: Holding[] = targets.map(target => {
--- a/src/process/gateway/serviceDemand.ts
+++ b/src/process/gateway/serviceDemand.ts
@@ -50,7 +50,7 @@
         this.decay = new DecayedRate(clock, HALF_LIFE_MS);
     }
 
-    /** Forgets the routes that aren't in a config any more. */
+    /** Drops the routes that are no longer in the config. */
     retain(names: ReadonlySet<string>): void {
         [...this.routes.keys()].filter(name => !names.has(name)).forEach(name => this.routes.delete(name));
     }
--- a/src/process/gateway/warmupWatch.ts
+++ b/src/process/gateway/warmupWatch.ts
@@ -16,7 +16,7 @@
  * It is short because targets also reset connections for other reasons.
  */
 export const SUSPICION_MS = 2_500;
-/** Time by which the warm-up has to be longer than it was known to be for the other instances to be told, in milliseconds. */
+/** Least extension of a warm-up that is reported to the other instances, in milliseconds. */
 const NEWS_MS = 1_000;
 /** Number of targets that are remembered; those that were added first are forgotten first. */
 const MAX_TARGETS = 5_000;
