State what the calls that read tables do, and the age and delay of the config in force

An instance that was 20 s behind with its config had logged its first failed call and nothing more: a warning about another table within 5 s counted as a repetition. Its metrics had the time since the last answer, but not whether a call receives anything, so a dead path, a store that is down and an answer too large for the path looked the same.

Each table now has a line of its own while it is out of date, with its failed calls and the bytes of the last one; reads of 0.5 s and more are logged; metrics show the call under way, and the age and the maximum delay of the config in force. The body of an answer is read in parts for that. No decision changes.

--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -33,6 +33,8 @@
     headers?: Record<string, string>;
     /** Ends the call, which then counts as unanswered. */
     signal?: AbortSignal;
+    /** Called with the number of bytes whenever a part of the response's body arrives. */
+    received?: (bytes: number) => void;
 }
 
 /** Timeout for establishing a connection, in milliseconds. */
@@ -110,7 +112,12 @@
                 : { body: request.body, headers: { "content-type": "application/json", ...request.headers } }),
             signal: controller.signal,
         });
-        const body = Buffer.from(await response.body.arrayBuffer());
+        const chunks: Buffer[] = [];
+        for await (const chunk of response.body as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+            request.received?.(chunk.length);
+        }
+        const body = Buffer.concat(chunks);
         return { type: "response", status: response.statusCode, headers: response.headers, body };
     } catch (error) {
         const code = typeof error === "object" && error !== null && "code" in error ? error.code : undefined;
--- a/src/process/gateway/__tests__/configKeeper.test.ts
+++ b/src/process/gateway/__tests__/configKeeper.test.ts
@@ -1,4 +1,5 @@
 import { err, ok } from "neverthrow";
+import { ManualClock } from "../../../../test/support/manualClock.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import type { RouteConfig } from "../../../version/routeConfig.js";
 import { ConfigKeeper } from "../configKeeper.js";
@@ -29,7 +30,9 @@
 const createKeeper = () => {
     const applied: string[] = [];
     const keeper = new ConfigKeeper({
+        clock: new ManualClock(),
         logger: SILENT_LOGGER,
+        knownUntil: () => -Infinity,
         onChange: ({ config: { version, routes } }) => applied.push(`${version} ${routes[0].backends[0].service}`),
     });
     return { keeper, applied };
--- a/src/process/gateway/__tests__/storeRelay.test.ts
+++ b/src/process/gateway/__tests__/storeRelay.test.ts
@@ -44,11 +44,11 @@
             instance().calls++;
             return store.snapshot(table);
         },
-        changes: (...call) => {
+        changes: (table, after, waitMs, signal) => {
             instance().calls++;
             return instance().isCutOff
                 ? Promise.resolve(err({ type: "platform-unavailable", detail: "cut off" }))
-                : store.changes(...call);
+                : store.changes(table, after, waitMs, signal);
         },
         row: (...call) => store.row(...call),
         transact: transaction => store.transact(transaction),
--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -4,6 +4,8 @@
 import { MemoryRowStore } from "../../../../test/support/memoryRowStore.js";
 import { SILENT_LOGGER } from "../../../../test/support/silentLogger.js";
 import { waitFor } from "../../../../test/support/waitFor.js";
+import type { PlatformError } from "../../store/platformError.js";
+import type { LogFields, Logger } from "../../observability/logger.js";
 import type { RowStore, StoredRow } from "../rowStore.js";
 import { TableFollower } from "../tableFollower.js";
 
@@ -16,6 +18,7 @@
         waitMs?: number;
         isProbed?: () => boolean;
         listsAfterFailure?: boolean;
+        logger?: Logger;
     } = { pauseMs: 0 },
 ) => {
     const rows = new Map<string, unknown>();
@@ -31,7 +34,7 @@
         store,
         table: "t",
         clock,
-        logger: SILENT_LOGGER,
+        logger: pauses.logger ?? SILENT_LOGGER,
         waitMs: () => pauses.waitMs ?? 1,
         pauseMs: () => pauses.pauseMs,
         minPauseMs: pauses.minPauseMs,
@@ -113,6 +116,31 @@
         expect(regained).toHaveLength(1);
     });
 
+    // An instance that was behind for 20 s had written a line about the first failed call only.
+    it("logs for how long a table is out of date, and what its failed calls have received", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        const lines: { message: string; fields: LogFields }[] = [];
+        const warn = (message: string, fields: LogFields = {}) => void lines.push({ message, fields });
+        const { follower } = createFollower(store, clock, {
+            pauseMs: 0,
+            waitMs: 0,
+            logger: { ...SILENT_LOGGER, warn },
+        });
+        await advanceInSteps(clock, 100);
+        const failure: PlatformError = { type: "platform-unknown", detail: "timeout" };
+        store.changes = (...[, , , , received]: Parameters<RowStore["changes"]>) => {
+            received?.(512);
+            return Promise.resolve(err(failure));
+        };
+        await advanceInSteps(clock, 2_000);
+        expect(follower.failedCalls).toBeGreaterThan(2);
+        follower.dispose();
+        const last = lines.at(-1);
+        expect(last).toMatchObject({ message: "Table t is out of date.", fields: { bytes: 512, detail: "timeout" } });
+        expect(last?.fields.silentMs).toBeGreaterThan(1_000);
+    });
+
     // The changes of an outage were too large to be sent within the timeout of a call, so the follower called for them until the
     // store had dropped them.
     it("catches up after a failure although the missed changes can't be read in time", async () => {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -176,7 +176,9 @@
     constructor(private readonly options: GatewayOptions) {
         const { clock, loggers, platform, instance } = options;
         this.config = new ConfigKeeper({
+            clock,
             logger: loggers("bundles"),
+            knownUntil: () => this.configFollower.completeUntil,
             onChange: lookup => {
                 this.server.setLimits(lookup.config.limits);
                 this.paths.setLimits(lookup.config.limits);
@@ -771,13 +773,20 @@
     private state(): GatewayState {
         return {
             configVersion: this.config.current?.config.version ?? 0,
+            configAgeMs: this.config.ageMs(),
+            configDelayMs: this.config.delayMs(),
             storeSilentMs: this.storeSilentMs(),
             tables: [
-                { table: "configs", silentMs: this.configFollower.silentMs() },
-                { table: "targets", silentMs: this.targetsFollower.silentMs() },
-                { table: "owners", silentMs: this.ownersFollower.silentMs() },
-                { table: "crashes", silentMs: this.crashesFollower.silentMs() },
-            ],
+                { table: "configs", follower: this.configFollower },
+                { table: "targets", follower: this.targetsFollower },
+                { table: "owners", follower: this.ownersFollower },
+                { table: "crashes", follower: this.crashesFollower },
+            ].map(({ table, follower }) => ({
+                table,
+                silentMs: follower.silentMs(),
+                failedCalls: follower.failedCalls,
+                call: follower.call,
+            })),
             storeEra: Math.max(...this.followers.map(({ latestEra }) => latestEra)),
             isAssigner: this.assigners.lease.isHeld(),
             isCutOff: this.paths.isCutOff,
--- a/src/process/gateway/gatewayMetrics.ts
+++ b/src/process/gateway/gatewayMetrics.ts
@@ -4,15 +4,19 @@
 import type { Clock } from "../runtime/clock.js";
 import type { EvacuatedKeys } from "./evacuationProgress.js";
 import type { CounterCell, Metrics, SummaryCell } from "../observability/metrics.js";
+import type { ReadCall } from "./readProgress.js";
 
 /** State of a gateway that is read when its metrics are collected. */
 export interface GatewayState {
     /** Version of the active config; 0 before the first. */
     configVersion: number;
+    /** Time since it came into force, and maximum time from its write until then, in milliseconds. */
+    configAgeMs: number;
+    configDelayMs: number;
     /** Time since the store last answered, in milliseconds. */
     storeSilentMs: number;
-    /** Time since each followed table was last read, in milliseconds. */
-    tables: Iterable<{ table: string; silentMs: number }>;
+    /** Time since each followed table was last read, in milliseconds, the calls that have failed since, and the one under way. */
+    tables: Iterable<{ table: string; silentMs: number; failedCalls: number; call: ReadCall }>;
     /** Era of the store; 0 while unknown. */
     storeEra: number;
     isAssigner: boolean;
@@ -149,8 +153,13 @@
         this.metrics.gauge("bundle_version", { domain: this.options.domain }).set(configVersion);
         this.metrics.gauge("platform_up", {}).set(storeSilentMs < STORE_DOWN_MS ? 1 : 0);
         this.metrics.gauge("platform_silence_seconds", {}).set(storeSilentMs / 1_000);
-        for (const { table, silentMs } of state.tables) {
+        this.metrics.gauge("bundle_age_seconds", {}).set(state.configAgeMs / 1_000);
+        this.metrics.gauge("bundle_delay_seconds", {}).set(state.configDelayMs / 1_000);
+        for (const { table, silentMs, failedCalls, call } of state.tables) {
             this.metrics.gauge("table_silence_seconds", { table }).set(silentMs / 1_000);
+            this.metrics.gauge("table_failed_calls", { table }).set(failedCalls);
+            this.metrics.gauge("table_call_seconds", { table }).set(call.ms / 1_000);
+            this.metrics.gauge("table_call_bytes", { table }).set(call.bytes);
         }
         this.metrics.gauge("store_era", {}).set(storeEra);
         this.metrics.gauge("key_assigner", {}).set(isAssigner ? 1 : 0);
--- a/src/process/gateway/rowStore.ts
+++ b/src/process/gateway/rowStore.ts
@@ -61,14 +61,19 @@
 
 /** Interface to the platform's table service. */
 export interface RowStore {
-    snapshot(table: string): Promise<Result<TableSnapshot, PlatformError>>;
+    /** Reads all rows of a table. `received` is called with the number of bytes whenever a part of the answer arrives. */
+    snapshot(table: string, received?: (bytes: number) => void): Promise<Result<TableSnapshot, PlatformError>>;
     row(table: string, key: string): Promise<Result<RowReading, PlatformError>>;
-    /** Waits up to `waitMs` milliseconds for a change after `after`, or until the signal ends the call. */
+    /**
+     * Waits up to `waitMs` milliseconds for a change after `after`, or until the signal ends the call. `received` is called
+     * with the number of bytes whenever a part of the answer arrives.
+     */
     changes(
         table: string,
         after: number,
         waitMs: number,
         signal?: AbortSignal,
+        received?: (bytes: number) => void,
     ): Promise<Result<TableChanges, PlatformError>>;
     transact(transaction: RowTransaction): Promise<Result<TransactionOutcome, PlatformError>>;
 }
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -1,10 +1,11 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { PlatformError } from "../store/platformError.js";
-import type { KeyChange } from "./keyChange.js";
+import type { FollowedTable } from "./followedTable.js";
+import { ReadProgress, type ReadCall } from "./readProgress.js";
 import type { RelayedChanges, RelayedRow } from "./relayMessage.js";
 import type { TableStep } from "./relayStream.js";
-import type { RowStore, StoredRow } from "./rowStore.js";
+import type { RowStore } from "./rowStore.js";
 
 /**
  * First pause after a failed call, in milliseconds; it doubles with each failure, so that an outage doesn't cause a flood
@@ -23,6 +24,9 @@
 /** Time within which the store answers a call if there are changes, in milliseconds; a call that takes longer found none. */
 const READ_MS = 30;
 
+/** Duration from which a call that was answered is logged, in milliseconds. */
+const SLOW_READ_MS = 500;
+
 /** Time within which the store answers a held call for changes that have been made, in milliseconds. */
 const HELD_ANSWER_MS = 300;
 
@@ -37,28 +41,6 @@
 /** Result of a call to the store. */
 type FollowerStep = "changed" | "quiet" | "failed" | "history-lost" | "restored";
 
-/** Callbacks for what a follower reads. */
-export interface FollowedTable {
-    /** Called with a snapshot of all rows; rows that aren't included don't exist. */
-    replaced(rows: StoredRow[]): void;
-    /**
-     * Applies a changed row. Returns what distinguishes it from the known one, if that is smaller and known, or `same` if it
-     * says nothing new that other instances need.
-     */
-    changed(row: StoredRow): KeyChange | "same" | undefined;
-    /** Applies a relayed change of a row; `false` if it doesn't follow on from the known row. */
-    patched?(change: KeyChange): boolean;
-    /**
-     * Called instead of `replaced` with the first snapshot after the store was restored from a copy. A row may be that of the
-     * copy, which is older than one that was read before, or may have been written since the restore.
-     */
-    restored(rows: StoredRow[]): void;
-    /** Called when an answer shows that the store has been restored; `restored` follows when the table has been read. */
-    eraBegan(era: number): void;
-    /** Called when the store answers again after `silentMs` milliseconds without an answer. */
-    recovered(silentMs: number): void;
-}
-
 /**
  * Follows one table of the store: reads a snapshot, then its changes. Rows older than the known versions are ignored, so
  * the view doesn't go back in time. Versions count within one era of the store only. In a later era the whole table is read
@@ -101,6 +83,7 @@
     private isPathUnknown = false;
     /** Whether the held call was ended to be made anew, which is no failure of the store. */
     private isCallRenewed = false;
+    private readonly progress: ReadProgress;
     /** Cancels the end of the held call, which must have been answered by then. */
     private cancelEndOfCall: TimerCancellation | undefined;
 
@@ -139,6 +122,7 @@
         },
     ) {
         this.lastAnswerAt = options.clock.monotonicMs();
+        this.progress = new ReadProgress(options.clock);
     }
 
     /** Whether a snapshot has been read. */
@@ -156,6 +140,16 @@
         return this.failures > 0;
     }
 
+    /** Number of calls that have failed since the last answer. */
+    get failedCalls(): number {
+        return this.failures;
+    }
+
+    /** The call under way. */
+    get call(): ReadCall {
+        return this.progress.current;
+    }
+
     /**
      * Monotonic time in milliseconds up to which all rows were known; `-Infinity` without a snapshot. While rows are applied, it is
      * that of the answer before, so these rows were written later.
@@ -333,10 +327,13 @@
 
     private async list(): Promise<"changed" | "failed"> {
         const { store, table, followed } = this.options;
-        const snapshot = await store.snapshot(table);
+        this.progress.begin(0);
+        const snapshot = await store.snapshot(table, this.progress.received);
+        const call = this.progress.end();
         if (snapshot.isErr()) {
-            return this.failed(snapshot.error);
+            return this.failed(snapshot.error, call);
         }
+        this.logSlow(call, snapshot.value.rows.length);
         const { rows, version, era } = snapshot.value;
         if (!this.checkEra(era)) {
             return this.late(era);
@@ -373,7 +370,10 @@
         this.isPathUnknown = false;
         this.heldCall = new AbortController();
         const waitMs = this.isCallHeld ? this.options.waitMs() : 0;
-        const changes = await store.changes(table, this.position, waitMs, this.heldCall.signal);
+        this.progress.begin(waitMs);
+        const { signal } = this.heldCall;
+        const changes = await store.changes(table, this.position, waitMs, signal, this.progress.received);
+        const call = this.progress.end();
         this.isCallHeld = false;
         this.cancelEndOfCall?.();
         this.cancelEndOfCall = undefined;
@@ -383,7 +383,7 @@
             return "restored";
         }
         if (changes.isErr()) {
-            return isCallRenewed ? "quiet" : this.failed(changes.error);
+            return isCallRenewed ? "quiet" : this.failed(changes.error, call);
         }
         const { era } = changes.value;
         if (!this.checkEra(era)) {
@@ -399,6 +399,7 @@
             return "history-lost";
         }
         const { rows, version } = changes.value;
+        this.logSlow(call, rows.length);
         const applied: RelayedRow[] = [];
         for (const row of rows) {
             if (row.version > (this.versions.get(row.key) ?? 0)) {
@@ -464,10 +465,21 @@
         }
     }
 
-    private failed(error: PlatformError): "failed" {
-        if (this.failures === 0) {
+    private logSlow({ ms, bytes }: ReadCall, rows: number): void {
+        if (ms >= SLOW_READ_MS) {
             const { table, logger } = this.options;
-            logger.warn("The store doesn't answer.", { table, cause: error.type, detail: error.detail });
+            logger.info(`Reading table ${table} took long.`, { ms: Math.round(ms), bytes, rows });
+        }
+    }
+
+    private failed(error: PlatformError, call: ReadCall = this.progress.current): "failed" {
+        const { table, logger } = this.options;
+        const cause = { cause: error.type, detail: error.detail, ms: Math.round(call.ms), bytes: call.bytes };
+        if (this.failures === 0) {
+            logger.warn("The store doesn't answer.", { table, ...cause });
+        } else {
+            const silentMs = Math.round(this.silentMs());
+            logger.warn(`Table ${table} is out of date.`, { silentMs, failures: this.failures + 1, ...cause });
         }
         this.failures++;
         this.prefersList = this.options.listsAfterFailure === true;
--- a/src/process/observability/metricDefinitions.ts
+++ b/src/process/observability/metricDefinitions.ts
@@ -218,6 +218,12 @@
         labels: ["service"],
     },
     bundle_version: { type: "gauge", help: "Bundle version in force.", labels: ["domain"] },
+    bundle_age_seconds: { type: "gauge", help: "Time since the bundle in force came into force.", labels: [] },
+    bundle_delay_seconds: {
+        type: "gauge",
+        help: "Maximum time from the write of the bundle in force until it came into force here; 0 for the first one of a process.",
+        labels: [],
+    },
     platform_up: { type: "gauge", help: "1 while the platform answers, else 0.", labels: [] },
     platform_silence_seconds: { type: "gauge", help: "Time since the platform last answered.", labels: [] },
     table_silence_seconds: {
@@ -225,6 +231,21 @@
         help: "Time since a followed table (`configs`, `targets`, `owners` or `crashes`) was last read, by this instance or by the one that relays changes.",
         labels: ["table"],
     },
+    table_failed_calls: {
+        type: "gauge",
+        help: "Calls that read a followed table and have failed since its last answer.",
+        labels: ["table"],
+    },
+    table_call_seconds: {
+        type: "gauge",
+        help: "Duration of the call that reads a followed table, beyond the time for which the store may hold it; 0 without one.",
+        labels: ["table"],
+    },
+    table_call_bytes: {
+        type: "gauge",
+        help: "Bytes of the answer that the call that reads a followed table, or the last one, has received.",
+        labels: ["table"],
+    },
     store_era: {
         type: "gauge",
         help: "Era of the platform's store, which rises by one each time the store is restored from a copy; 0 while unknown.",
