--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -172,6 +172,41 @@
         expect(regained).toHaveLength(1);
     });
 
+    // An instance asked for all versions between, of which there were more during each call than during the one before.
+    it("stays a few calls behind a row that changes faster than its versions can be sent", async () => {
+        const SEND_MS = 300;
+        const CHANGE_MS = 100;
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", 0);
+        const sent = async (rows: number) =>
+            new Promise<void>(resolve => {
+                clock.setTimer(SEND_MS * rows, resolve);
+            });
+        const changes = store.changes.bind(store);
+        store.changes = async (...call) => {
+            const answer = await changes(...call);
+            await sent(answer.isOk() && answer.value.type === "changes" ? answer.value.rows.length : 0);
+            return answer;
+        };
+        const snapshot = store.snapshot.bind(store);
+        store.snapshot = async table => {
+            const answer = await snapshot(table);
+            await sent(1);
+            return answer;
+        };
+        const { follower, rows } = createFollower(store, clock, { pauseMs: 0, listsAfterFailure: true });
+        await advanceInSteps(clock, 1_000);
+        const behind: number[] = [];
+        for (let change = 1; change <= 150; change++) {
+            store.put("t", "a", change);
+            await advanceInSteps(clock, CHANGE_MS);
+            behind.push(change - Number(rows.get("a")));
+        }
+        follower.dispose();
+        expect(Math.max(...behind) * CHANGE_MS).toBeLessThanOrEqual(5 * SEND_MS);
+    });
+
     it("reads a burst of changes with few calls, and without delay when a refresh is requested", async () => {
         const store = new MemoryRowStore();
         const clock = new ManualClock();
--- a/test/failure/configsAfterFaults.test.ts
+++ b/test/failure/configsAfterFaults.test.ts
@@ -28,7 +28,7 @@
                 await pause(random() * 2_000);
                 fleet.members.forEach(({ storeLink }) => storeLink.hangConnections());
                 await pause(WRITTEN_AFTER_MS);
-                fleet.configure(version, FURTHER_ROUTES + version);
+                fleet.configure(version, { furtherRoutes: FURTHER_ROUTES + version });
                 await pause(STABLE_MS - WRITTEN_AFTER_MS);
                 const path = `/further-${FURTHER_ROUTES + version - 1}/`;
                 const answers = await Promise.all(
--- a/test/support/faultProxy.ts
+++ b/test/support/faultProxy.ts
@@ -6,6 +6,10 @@
 
 /** Buffered bytes per direction of a connection at which the proxy stops reading. */
 const HELD_BYTES_LIMIT = 1_048_576;
+/** Size of the parts in which bytes pass at a limited rate. */
+const PACED_BYTES = 4_096;
+/** Buffered bytes at which the proxy stops reading at a limited rate, so that few bytes of an ended connection use the link. */
+const PACED_HELD_BYTES_LIMIT = 65_536;
 
 /** One direction of a connection: forwards bytes in order, optionally delayed, held back or truncated. */
 class ForwardedBytes {
@@ -17,7 +21,9 @@
     constructor(
         private readonly from: Socket,
         private readonly to: Socket,
-        private readonly delayMs: () => number,
+        /** Returns the time from which bytes may pass that have arrived now. */
+        private readonly dueAt: (bytes: number) => number,
+        private readonly isPaced: () => boolean,
         private readonly held: () => boolean,
         /** Returns how many of the next bytes may pass; if fewer than given, the connection ends after them. */
         private readonly admit: (bytes: number) => number,
@@ -57,15 +63,25 @@
             }
             this.waitingForDrain = !this.to.write(chunk);
         }
-        if (this.heldBytes < HELD_BYTES_LIMIT) {
+        if (this.heldBytes < this.heldBytesLimit()) {
             this.from.resume();
         }
     }
 
+    private heldBytesLimit(): number {
+        return this.isPaced() ? PACED_HELD_BYTES_LIMIT : HELD_BYTES_LIMIT;
+    }
+
     private add(chunk: Buffer | undefined): void {
-        this.queue.push({ chunk, dueAt: performance.now() + this.delayMs() });
+        const partBytes = this.isPaced() ? PACED_BYTES : Infinity;
+        let rest = chunk;
+        while (rest !== undefined && rest.byteLength > partBytes) {
+            this.queue.push({ chunk: rest.subarray(0, partBytes), dueAt: this.dueAt(partBytes) });
+            rest = rest.subarray(partBytes);
+        }
+        this.queue.push({ chunk: rest, dueAt: this.dueAt(rest?.byteLength ?? 0) });
         this.heldBytes += chunk?.byteLength ?? 0;
-        if (this.heldBytes >= HELD_BYTES_LIMIT) {
+        if (this.heldBytes >= this.heldBytesLimit()) {
             this.from.pause();
         }
         this.forward();
@@ -108,6 +124,10 @@
     private readonly connections = new Set<ProxiedConnection>();
     private readonly heldDirections = new Set<Direction>();
     private readonly delaysMs: Record<Direction, number> = { toServer: 0, toClient: 0 };
+    /** Limit of each direction in bytes a second, of all connections together. */
+    private readonly rates: Record<Direction, number> = { toServer: Infinity, toClient: Infinity };
+    /** Time at which the bytes that have arrived so far have passed. */
+    private readonly busyUntil: Record<Direction, number> = { toServer: 0, toClient: 0 };
     private cut: { direction: Direction; bytesLeft: number } | undefined;
 
     private constructor(upstream: string) {
@@ -185,6 +205,11 @@
         this.delaysMs[direction] = delayMs;
     }
 
+    /** Limits the bytes a second that arrive in a direction from now on, on all connections together, as a narrow link does. */
+    limitRate(direction: Direction, bytesPerSecond: number): void {
+        this.rates[direction] = bytesPerSecond;
+    }
+
     /** Resets all open connections; new ones work. */
     resetConnections(): void {
         for (const { client, server } of this.connections) {
@@ -240,13 +265,21 @@
         return new ForwardedBytes(
             from,
             to,
-            () => this.delaysMs[direction],
+            bytes => this.dueAt(direction, bytes),
+            () => Number.isFinite(this.rates[direction]),
             () => connection.hung || this.heldDirections.has(direction),
             bytes => this.admit(direction, bytes),
             () => reset(from),
         );
     }
 
+    private dueAt(direction: Direction, bytes: number): number {
+        const passMs = (1_000 * bytes) / this.rates[direction];
+        const passedAt = Math.max(performance.now(), this.busyUntil[direction]) + passMs;
+        this.busyUntil[direction] = passedAt;
+        return passedAt + this.delaysMs[direction];
+    }
+
     private admit(direction: Direction, bytes: number): number {
         if (this.cut?.direction !== direction) {
             return bytes;
--- a/test/support/gatewayFleet.ts
+++ b/test/support/gatewayFleet.ts
@@ -49,6 +49,16 @@
     null,
 ];
 
+/** Weights of the services of the route `/split/`. */
+type SplitWeights = Record<"drawings" | "orders", number>;
+
+/** What a config has besides the routes of all kinds of requests. */
+interface ConfigContent {
+    /** Number of routes `/further-N/`, which make it large; each is some 110 bytes. */
+    furtherRoutes?: number;
+    split?: SplitWeights;
+}
+
 /** Warm-up of the targets that are processes of their own, and what a cold one tolerates. */
 export interface FleetWarmup {
     warmupMs: number;
@@ -62,12 +72,25 @@
     isCuttable?: boolean;
 }
 
-const configOf = (version: number, furtherRoutes: number, warmup: FleetWarmup | undefined): unknown => ({
+/** Route `/split/`, whose requests are divided between two services by weight. */
+const splitRouteOf = (weights: SplitWeights): unknown[] => [
+    ...routeOf("drawing", "split").slice(0, -3),
+    null,
+    3,
+    Object.entries(weights).map(([service, weight]) => ({ service, weight })),
+];
+
+const configOf = (
+    version: number,
+    { furtherRoutes = 0, split }: ConfigContent,
+    warmup: FleetWarmup | undefined,
+): unknown => ({
     version: `r${version}`,
     routes: {
         columns: ROUTE_COLUMNS,
         rows: [
             ...FLEET_KINDS.map(kind => routeOf(kind)),
+            ...(split === undefined ? [] : [splitRouteOf(split)]),
             ...Array.from({ length: furtherRoutes }, (_, index) => routeOf("drawing", `further-${index}`)),
         ],
     },
@@ -164,9 +187,9 @@
         return fleet;
     }
 
-    /** Writes a version of the config, with further routes if it is to be large. */
-    configure(version: number, furtherRoutes = 0): void {
-        this.store.rows.put("op", "config", configOf(version, furtherRoutes, this.warmup));
+    /** Writes a version of the config. */
+    configure(version: number, content: ConfigContent = {}): void {
+        this.store.rows.put("op", "config", configOf(version, content, this.warmup));
     }
 
     async addTarget(id: string, service: string, domain: string): Promise<OwningTarget> {
--- a/test/support/memoryRowStore.ts
+++ b/test/support/memoryRowStore.ts
@@ -17,6 +17,8 @@
 /** An in-memory row store. */
 export class MemoryRowStore implements RowStore {
     private readonly tables = new Map<string, Map<string, StoredRow>>();
+    /** Each written version of the rows, by table, in order. */
+    private readonly histories = new Map<string, StoredRow[]>();
     private version = 0;
     private era = 0;
     /** Copies from which the store can be restored. */
@@ -36,12 +38,12 @@
     /** Writes a row unconditionally, as another writer would. */
     put(table: string, key: string, value: unknown): void {
         this.nextVersion();
-        this.rowsOf(table).set(key, { key, value: Buffer.from(JSON.stringify(value)), version: this.version });
+        this.write(table, key, Buffer.from(JSON.stringify(value)));
     }
 
     drop(table: string, key: string): void {
         this.nextVersion();
-        this.rowsOf(table).set(key, { key, value: undefined, version: this.version });
+        this.write(table, key, undefined);
     }
 
     /** Makes a copy and returns its number. */
@@ -55,6 +57,12 @@
         const { version, tables } = this.copies[copy];
         this.tables.clear();
         tables.forEach((rows, name) => this.tables.set(name, new Map(rows)));
+        this.histories.forEach((history, name) =>
+            this.histories.set(
+                name,
+                history.filter(row => row.version <= version),
+            ),
+        );
         this.version = version;
         this.era++;
         if (!this.isSilentAtRestore) {
@@ -67,6 +75,11 @@
         const row = this.rowsOf(table).get(key);
         if (row !== undefined) {
             this.rowsOf(table).set(key, { ...row, version });
+            const others = this.historyOf(table).filter(written => written !== row);
+            this.histories.set(
+                table,
+                [...others, { ...row, version }].sort((a, b) => a.version - b.version),
+            );
         }
     }
 
@@ -107,7 +120,11 @@
         if (after > this.version) {
             return this.reply(() => ({ type: "history-lost" }));
         }
-        const changed = () => [...this.rowsOf(table).values()].filter(({ version }) => version > after);
+        const changed = () => {
+            const history = this.historyOf(table);
+            const first = history.findLastIndex(({ version }) => version <= after) + 1;
+            return history.slice(first);
+        };
         if (changed().length === 0 && this.fault === undefined) {
             await this.waitForChange(waitMs, signal);
         }
@@ -158,17 +175,25 @@
             return this.reply(() => ({ type: "conflict" }));
         }
         this.nextVersion();
-        transaction.puts.forEach(({ table, key, value }) =>
-            this.rowsOf(table).set(key, { key, value, version: this.version }),
-        );
-        transaction.deletes?.forEach(({ table, key }) =>
-            this.rowsOf(table).set(key, { key, value: undefined, version: this.version }),
-        );
+        transaction.puts.forEach(({ table, key, value }) => this.write(table, key, value));
+        transaction.deletes?.forEach(({ table, key }) => this.write(table, key, undefined));
         const committed = this.version;
         const storeMs = this.storeMs();
         return this.reply(() => ({ type: "committed", version: committed, storeMs }));
     }
 
+    private write(table: string, key: string, value: Buffer | undefined): void {
+        const row = { key, value, version: this.version };
+        this.rowsOf(table).set(key, row);
+        this.historyOf(table).push(row);
+    }
+
+    private historyOf(table: string): StoredRow[] {
+        const history = this.histories.get(table) ?? [];
+        this.histories.set(table, history);
+        return history;
+    }
+
     private rowsOf(table: string): Map<string, StoredRow> {
         const rows = this.tables.get(table) ?? new Map<string, StoredRow>();
         this.tables.set(table, rows);
