Read a table whole where several versions of its rows may have been missed (CONFIG)

Cause: the store answers a call for changes with each version since, in full. An instance that has missed some asks for all of them in one answer, which takes longer than a call may over a narrow link. It asks again, for more. Only the loss of the history ended that. The same holds without a fault when changes come faster than the link carries them: each answer brings what came during the one before.

The cost of catching up now depends on the table and not on what was missed. Tables of few rows of which only the newest version matters (configs, owners) are read whole after a failed call, when the relay shows a gap, when an answer has superseded versions, and after a silence in which changes are to be expected. While they keep changing, they are read whole with pauses of 0.5 to 0.7 s, so that at most about half of the path is used. Superseded versions in an answer aren't applied. What differs is applied and relayed like changes, so that a reading of the whole table doesn't have every other instance read it.

--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -17,7 +17,7 @@
         minPauseMs?: number;
         waitMs?: number;
         isProbed?: () => boolean;
-        listsAfterFailure?: boolean;
+        needsNewest?: boolean;
         logger?: Logger;
     } = { pauseMs: 0 },
 ) => {
@@ -39,7 +39,7 @@
         pauseMs: () => pauses.pauseMs,
         minPauseMs: pauses.minPauseMs,
         isProbed: pauses.isProbed,
-        listsAfterFailure: pauses.listsAfterFailure,
+        needsNewest: pauses.needsNewest,
         followed: {
             replaced: all => {
                 snapshots.push("replaced");
@@ -155,7 +155,7 @@
         const { follower, rows, regained } = createFollower(store, clock, {
             pauseMs: 0,
             waitMs: 0,
-            listsAfterFailure: true,
+            needsNewest: true,
         });
         await advanceInSteps(clock, 100);
         store.fault = "answer-lost";
@@ -195,7 +195,7 @@
             await sent(1);
             return answer;
         };
-        const { follower, rows } = createFollower(store, clock, { pauseMs: 0, listsAfterFailure: true });
+        const { follower, rows } = createFollower(store, clock, { pauseMs: 0, needsNewest: true });
         await advanceInSteps(clock, 1_000);
         const behind: number[] = [];
         for (let change = 1; change <= 150; change++) {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -294,7 +294,7 @@
             pauseMs: () => (this.relay.isSending ? SHARED_CHANGES_PAUSE_MS : OWNERS_CHANGES_PAUSE_MS),
             minPauseMs: SHARED_CHANGES_PAUSE_MS,
             // One row for each service, which contains the owners of all its keys.
-            listsAfterFailure: true,
+            needsNewest: true,
             replaced: rows => rows.forEach(row => this.owners.rowChanged(row)),
             changed: row => this.ownersChanged(row),
             patched: change => this.owners.changed(change),
@@ -303,6 +303,8 @@
             table: tables.config,
             ...OPERATOR_ROWS,
             pauseMs: () => 0,
+            // Each version of the config has all routes.
+            needsNewest: true,
             replaced: rows => {
                 this.evacuations.listed(rows);
                 rows.forEach(row => this.configChanged(row));
@@ -857,7 +859,7 @@
         maxAgeMs: number;
         pauseMs: () => number;
         minPauseMs?: number;
-        listsAfterFailure?: boolean;
+        needsNewest?: boolean;
         replaced: (rows: StoredRow[]) => void;
         /** Applies the first snapshot of a restored store; `replaced` by default. */
         restored?: (rows: StoredRow[]) => void;
@@ -865,7 +867,7 @@
         patched?: (change: KeyChange) => boolean;
     }): TableFollower {
         const { table, waitMs, sourceWaitMs, maxAgeMs, replaced, restored = replaced } = options;
-        const { pauseMs, minPauseMs, listsAfterFailure } = options;
+        const { pauseMs, minPauseMs, needsNewest } = options;
         const { clock, loggers, platform } = this.options;
         const follower: TableFollower = new TableFollower({
             store: platform.store,
@@ -875,7 +877,7 @@
             waitMs: () => (this.relay.isSending ? sourceWaitMs : waitMs),
             pauseMs,
             minPauseMs,
-            listsAfterFailure,
+            needsNewest,
             isProbed: () => follower !== this.configFollower && this.configFollower.isFailing,
             followed: {
                 replaced,
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -1,11 +1,13 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { PlatformError } from "../store/platformError.js";
+import { decideRead, wholePauseMs } from "./decideRead.js";
 import type { FollowedTable } from "./followedTable.js";
 import { ReadProgress, type ReadCall } from "./readProgress.js";
 import type { RelayedChanges, RelayedRow } from "./relayMessage.js";
 import type { TableStep } from "./relayStream.js";
-import type { RowStore } from "./rowStore.js";
+import type { RowStore, StoredRow } from "./rowStore.js";
+import { newestRows, TableVersions } from "./tableVersions.js";
 
 /**
  * First pause after a failed call, in milliseconds; it doubles with each failure, so that an outage doesn't cause a flood
@@ -57,12 +59,18 @@
     /** Latest known era; `undefined` before the first answer. */
     private era: number | undefined;
     private mustList = true;
-    /** Whether the next call lists the table; relayed changes still apply until then. */
-    private prefersList = false;
+    /** Whether a call has failed, or the table changes faster than it can be read; relayed changes still apply. */
+    private isLagging = false;
+    /** Whether relayed messages have shown changes that this instance hasn't read. */
+    private isBehind = false;
+    /** Monotonic time in milliseconds at which a change was read last. */
+    private changedAt = -Infinity;
+    /** Whether the pause between readings of the whole table runs, which only a request for the current state ends. */
+    private isPacing = false;
     /** Whether the store was restored and the table hasn't been listed since. */
     private isRestored = false;
     private hasSnapshot = false;
-    private readonly versions = new Map<string, number>();
+    private readonly versions = new TableVersions();
     private disposed = false;
     private failures = 0;
     private lastAnswerAt: number;
@@ -84,6 +92,8 @@
     /** Whether the held call was ended to be made anew, which is no failure of the store. */
     private isCallRenewed = false;
     private readonly progress: ReadProgress;
+    /** Duration of the last call that was answered, in milliseconds. */
+    private lastReadMs = 0;
     /** Cancels the end of the held call, which must have been answered by then. */
     private cancelEndOfCall: TimerCancellation | undefined;
 
@@ -105,10 +115,10 @@
             /** Whether another follower is failing and calls `retry` when the store answers it. */
             isProbed?: () => boolean;
             /**
-             * Whether the whole table is read after a failed call. For few rows that change often, it is smaller than the changes
-             * that were missed, which the store may not be able to send within the timeout of a call.
+             * Whether only the newest version of a row matters. The whole table is then read where several versions may have been
+             * missed, and older versions in an answer aren't applied.
              */
-            listsAfterFailure?: boolean;
+            needsNewest?: boolean;
             followed: FollowedTable;
             /** Relay of changes between instances; each change is read from the store without it. */
             relay?: {
@@ -202,11 +212,12 @@
             return;
         }
         if (era !== this.era || this.position < from) {
+            this.isBehind = true;
             this.endHeldCall();
             this.readInstead();
             return;
         }
-        for (const row of rows.filter(({ key, version }) => version > (this.versions.get(key) ?? 0))) {
+        for (const row of rows.filter(each => this.versions.isNew(each))) {
             if (!this.applyRelayed(row)) {
                 this.readInstead();
                 return;
@@ -219,7 +230,7 @@
         if (readAt > this.lastAnswerAt) {
             const silentMs = this.silentMs();
             this.lastAnswerAt = readAt;
-            this.prefersList = false;
+            this.isLagging = false;
             if (this.isFailing) {
                 this.failures = 0;
                 followed.recovered(silentMs);
@@ -235,7 +246,8 @@
         } else if (followed.patched?.(change) !== true) {
             return false;
         }
-        this.versions.set(key, version);
+        this.versions.add({ key, version }, change !== undefined || value !== undefined);
+        this.changedAt = this.options.clock.monotonicMs();
         return true;
     }
 
@@ -252,7 +264,9 @@
     private readInstead(): void {
         if (this.isRelayed()) {
             this.isReadNeeded = true;
-            this.wake();
+            if (!this.isPacing) {
+                this.wake();
+            }
         }
     }
 
@@ -299,22 +313,32 @@
                 continue;
             }
             const wasReadNeeded = this.isReadNeeded;
-            const step = this.mustList || this.prefersList ? await this.list() : await this.follow();
+            const isWhole = this.readsWhole();
+            const step = isWhole ? await this.list() : await this.follow();
             if (step === "failed") {
                 await this.pause(this.failurePauseMs());
             } else if (step === "changed") {
-                await this.pauseAfterChanges();
+                await this.pauseAfterChanges(isWhole && this.isLagging);
             } else if (wasReadNeeded) {
                 await this.pause(RELAY_READ_PAUSE_MS);
             }
         }
     }
 
-    private async pauseAfterChanges(): Promise<void> {
-        const pauseMs = this.options.pauseMs();
-        const minMs = Math.min(pauseMs, this.options.minPauseMs ?? pauseMs);
+    /** Whether the next call reads the whole table. */
+    private readsWhole(): boolean {
+        const { isLagging, isBehind, lastAnswerAt, changedAt } = this;
+        const state = { isLagging, isBehind, silentMs: this.silentMs(), unchangedMs: lastAnswerAt - changedAt };
+        return this.mustList || (this.options.needsNewest === true && decideRead(state) === "whole");
+    }
+
+    private async pauseAfterChanges(isWholeReadAgain: boolean): Promise<void> {
+        const changesPauseMs = this.options.pauseMs();
+        const minMs = Math.min(changesPauseMs, this.options.minPauseMs ?? changesPauseMs);
+        const pauseMs = isWholeReadAgain ? Math.max(changesPauseMs, wholePauseMs(this.lastReadMs)) : changesPauseMs;
         this.isRefreshRequested = false;
         this.freshFrom = Infinity;
+        this.isPacing = pauseMs > changesPauseMs;
         await this.pause(minMs);
         if (!this.isRefreshRequested && !this.disposed) {
             const remainder = this.pause(pauseMs - minMs);
@@ -322,18 +346,20 @@
             await remainder;
             this.endPause = () => undefined;
         }
+        this.isPacing = false;
         this.freshFrom = this.mustList ? Infinity : this.options.clock.monotonicMs() + READ_MS;
     }
 
-    private async list(): Promise<"changed" | "failed"> {
+    private async list(): Promise<"changed" | "quiet" | "failed"> {
         const { store, table, followed } = this.options;
+        this.isPathUnknown = false;
         this.progress.begin(0);
         const snapshot = await store.snapshot(table, this.progress.received);
         const call = this.progress.end();
         if (snapshot.isErr()) {
             return this.failed(snapshot.error, call);
         }
-        this.logSlow(call, snapshot.value.rows.length);
+        this.readEnded(call, snapshot.value.rows.length);
         const { rows, version, era } = snapshot.value;
         if (!this.checkEra(era)) {
             return this.late(era);
@@ -342,16 +368,22 @@
         if (version < this.position) {
             return this.failed({ type: "platform-protocol", detail: `snapshot at ${version} is stale` });
         }
+        this.isReadNeeded = false;
+        this.isBehind = false;
+        if (!this.mustList) {
+            const changes = this.versions.changesTo(rows, version);
+            // A table that has changed probably changes again.
+            this.isLagging = changes.length > 0;
+            this.apply(changes, version);
+            return changes.length > 0 ? "changed" : "quiet";
+        }
         this.position = version;
-        const fresh = rows.filter(row => row.version >= (this.versions.get(row.key) ?? 0));
-        this.versions.clear();
-        fresh.forEach(row => this.versions.set(row.key, row.version));
+        const fresh = this.versions.reset(rows, version);
         const { isRestored } = this;
         this.mustList = false;
-        this.prefersList = false;
+        this.isLagging = false;
         this.isRestored = false;
         this.hasSnapshot = true;
-        this.isReadNeeded = false;
         if (isRestored) {
             followed.restored(fresh);
         } else {
@@ -363,7 +395,7 @@
     }
 
     private async follow(): Promise<FollowerStep> {
-        const { store, table, followed, logger } = this.options;
+        const { store, table, logger } = this.options;
         // While the store fails, calls without a wait detect its recovery earliest.
         this.isCallHeld = !this.isFailing && !this.isReadNeeded && !this.isPathUnknown;
         this.isReadNeeded = false;
@@ -399,26 +431,36 @@
             return "history-lost";
         }
         const { rows, version } = changes.value;
-        this.logSlow(call, rows.length);
+        this.readEnded(call, rows.length);
+        const newest = this.options.needsNewest === true ? newestRows(rows) : rows;
+        this.isBehind = false;
+        this.isLagging = newest.length < rows.length;
+        this.apply(newest, version);
+        return rows.length > 0 ? "changed" : "quiet";
+    }
+
+    /** Applies the changes up to a version, and passes them on. */
+    private apply(rows: readonly StoredRow[], to: number): void {
+        const { followed, relay } = this.options;
         const applied: RelayedRow[] = [];
-        for (const row of rows) {
-            if (row.version > (this.versions.get(row.key) ?? 0)) {
-                const { key, value } = row;
-                this.versions.set(key, row.version);
-                const change = followed.changed(row);
-                if (change !== "same") {
-                    const content = change === undefined ? value?.toString("latin1") : undefined;
-                    applied.push({ key, version: row.version, value: content, change });
-                }
+        for (const row of rows.filter(each => this.versions.isNew(each))) {
+            const { key, value, version } = row;
+            this.versions.add(row, value !== undefined);
+            const change = followed.changed(row);
+            if (change !== "same") {
+                const content = change === undefined ? value?.toString("latin1") : undefined;
+                applied.push({ key, version, value: content, change });
             }
         }
+        if (rows.length > 0) {
+            this.changedAt = this.lastAnswerAt;
+        }
         this.knownUntil = this.lastAnswerAt;
         const from = this.position;
-        this.position = Math.max(from, version);
-        const { relay } = this.options;
+        this.position = Math.max(from, to);
         // Rows that were read before this instance passes changes on can't be passed on any more.
-        relay?.read({ era, from, to: this.position, rows: relay.isSource() ? applied : undefined });
-        return rows.length > 0 ? "changed" : "quiet";
+        const passedOn = relay?.isSource() === true ? applied : undefined;
+        relay?.read({ era: this.latestEra, from, to: this.position, rows: passedOn });
     }
 
     /** Enters a later era; `false` if the era is an earlier one. */
@@ -465,7 +507,8 @@
         }
     }
 
-    private logSlow({ ms, bytes }: ReadCall, rows: number): void {
+    private readEnded({ ms, bytes }: ReadCall, rows: number): void {
+        this.lastReadMs = ms;
         if (ms >= SLOW_READ_MS) {
             const { table, logger } = this.options;
             logger.info(`Reading table ${table} took long.`, { ms: Math.round(ms), bytes, rows });
@@ -482,7 +525,7 @@
             logger.warn(`Table ${table} is out of date.`, { silentMs, failures: this.failures + 1, ...cause });
         }
         this.failures++;
-        this.prefersList = this.options.listsAfterFailure === true;
+        this.isLagging = true;
         return "failed";
     }
 
