Let a call that reads rows go on while its answer arrives (CONFIG)

Callers got 404 for added routes from an instance whose link needed 1.6 s for the config: its calls were ended after 0.9 s although bytes arrived all the while, and were made again.

Cause: one limit for the whole call told a dead path from a live one. It also told a large answer from a small one. A path that delivers nothing is noticed as early as before.

--- a/src/connection/__tests__/httpCalls.test.ts
+++ b/src/connection/__tests__/httpCalls.test.ts
@@ -67,6 +67,48 @@
     });
 });
 
+// A config that took longer than the timeout over a narrow link was asked for again and again.
+describe("a call for a large response", () => {
+    const PARTS = 8;
+    const PART_MS = 100;
+    const bodyTimeouts = { partMs: TIMEOUT_MS, wholeMs: PATIENCE_MS };
+
+    /** Makes a call whose response has `sent` parts of `PARTS`. */
+    const ask = async (sent: number, timeouts = bodyTimeouts) => {
+        const server = createServer((_, response) => {
+            response.writeHead(200, { "content-length": String(PARTS) });
+            void (async () => {
+                for (let part = 0; part < sent; part++) {
+                    response.write("x");
+                    await pause(PART_MS);
+                }
+            })();
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const pool = createCallPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, 1);
+        const counts: number[] = [];
+        const received = (bytes: number) => void counts.push(bytes);
+        const result = await call(pool, { method: "GET", path: "/", received, bodyTimeouts: timeouts }, TIMEOUT_MS);
+        await pool.destroy();
+        server.closeAllConnections();
+        await new Promise(resolve => server.close(resolve));
+        return { result, bytes: counts.reduce((sum, bytes) => sum + bytes, 0) };
+    };
+
+    it("goes on while parts of the body arrive", async () => {
+        expect(await ask(PARTS)).toMatchObject({ result: { type: "response", status: 200 }, bytes: PARTS });
+    });
+
+    it("ends when no further part arrives", async () => {
+        expect(await ask(2)).toMatchObject({ result: { type: "unanswered" }, bytes: 2 });
+    });
+
+    it("ends after the time for the whole body", async () => {
+        const { result } = await ask(PARTS, { partMs: PATIENCE_MS, wholeMs: 2 * PART_MS });
+        expect(result.type).toBe("unanswered");
+    });
+});
+
 // A status of 600 counted as a refusal of the call, which the process may have carried out.
 describe("a call whose response has an invalid status", () => {
     it.each(["000", "099", "199", "600", "999", "1000", "2 0"])(
--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -25,6 +25,14 @@
     /** The call may have reached the process at the address. */
     | { type: "unanswered"; detail: string };
 
+/** Limits of the time in which the body of a response arrives. */
+export interface BodyTimeouts {
+    /** Time without a further part after which the path counts as dead, in milliseconds. */
+    partMs: number;
+    /** Time for the whole body, in milliseconds. */
+    wholeMs: number;
+}
+
 /** A call of another process. */
 export interface CallRequest {
     method: "GET" | "POST";
@@ -35,6 +43,11 @@
     signal?: AbortSignal;
     /** Called with the number of bytes whenever a part of the response's body arrives. */
     received?: (bytes: number) => void;
+    /**
+     * Limits of the time in which the body arrives, for a response that may be large. The timeout of the call then only limits
+     * the time until its head; by default it limits all of it.
+     */
+    bodyTimeouts?: BodyTimeouts;
 }
 
 /** Timeout for establishing a connection, in milliseconds. */
@@ -98,7 +111,10 @@
     // Node.js 20 may drop a timeout signal that only `AbortSignal.any` refers to, and the call would never end.
     const controller = new AbortController();
     const abort = () => controller.abort(request.signal?.reason);
-    const timer = setTimeout(() => controller.abort(new Error(TIMEOUT_TEXT)), timeoutMs);
+    const { received, bodyTimeouts } = request;
+    const endAfter = (ms: number) => setTimeout(() => controller.abort(new Error(TIMEOUT_TEXT)), ms);
+    let timer = endAfter(timeoutMs);
+    let wholeTimer: NodeJS.Timeout | undefined;
     request.signal?.addEventListener("abort", abort);
     try {
         if (request.signal?.aborted === true) {
@@ -112,10 +128,18 @@
                 : { body: request.body, headers: { "content-type": "application/json", ...request.headers } }),
             signal: controller.signal,
         });
+        if (bodyTimeouts !== undefined) {
+            clearTimeout(timer);
+            timer = endAfter(bodyTimeouts.partMs);
+            wholeTimer = endAfter(bodyTimeouts.wholeMs);
+        }
         const chunks: Buffer[] = [];
         for await (const chunk of response.body as AsyncIterable<Buffer>) {
             chunks.push(chunk);
-            request.received?.(chunk.length);
+            received?.(chunk.length);
+            if (bodyTimeouts !== undefined) {
+                timer.refresh();
+            }
         }
         const body = Buffer.concat(chunks);
         return { type: "response", status: response.statusCode, headers: response.headers, body };
@@ -125,6 +149,7 @@
         return { type: code === "ECONNREFUSED" ? "refused" : "unanswered", detail };
     } finally {
         clearTimeout(timer);
+        clearTimeout(wholeTimer);
         request.signal?.removeEventListener("abort", abort);
     }
 };
