Don't end a held call whose answer is arriving

When a relayed message shows that changes were missed, a held call must be answered within 0.3 s, or its connection counts as dead. An answer that takes longer to arrive was broken off, counted as a failure of the store, and asked for again. Only a call that has received nothing is ended now.

The test in tableFollower failed before.

--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -29,7 +29,7 @@
 /** Duration from which a call that was answered is logged, in milliseconds. */
 const SLOW_READ_MS = 500;
 
-/** Time within which the store answers a held call for changes that have been made, in milliseconds. */
+/** Time within which the store begins to answer a held call for changes that have been made, in milliseconds. */
 const HELD_ANSWER_MS = 300;
 
 /**
@@ -256,7 +256,11 @@
         const { heldCall, isCallHeld } = this;
         if (isCallHeld) {
             const reason = new Error("A held call isn't answered although there are changes.");
-            this.cancelEndOfCall ??= this.options.clock.setTimer(HELD_ANSWER_MS, () => heldCall.abort(reason));
+            this.cancelEndOfCall ??= this.options.clock.setTimer(HELD_ANSWER_MS, () => {
+                if (this.progress.current.bytes === 0) {
+                    heldCall.abort(reason);
+                }
+            });
         }
     }
 
