Continue the split of requests by weight across configs, and begin it without a preference (CONFIG)

Callers of a route with several services were all served by the first one. With a config before each request, one of two services with equal weights got 90 of 90 requests.

Cause: each config began the split of every route anew, and a split began at a random phase that favours the first service: with weights of 50 and 50 the first choice was always the first service, with 90 and 10 the first four. Where an instance gets fewer requests of a route than configs, each is a first choice. The state was kept by the name of a route, too.

The split now keeps how many requests each service is short of its share, which doesn't depend on the weights, so it goes on with other weights. It is kept by host and prefix.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -182,7 +182,7 @@
             onChange: lookup => {
                 this.server.setLimits(lookup.config.limits);
                 this.paths.setLimits(lookup.config.limits);
-                this.split.reset();
+                this.split.retain(lookup.config.routes);
                 this.rooms.update(lookup.config.routes);
                 this.assigners.update(lookup.config.services);
             },
--- a/src/version/__tests__/weightedSplit.test.ts
+++ b/src/version/__tests__/weightedSplit.test.ts
@@ -48,4 +48,38 @@
             );
         },
     );
+
+    it.each([1, 2, 7])("keeps the shares of all requests while the weights change after each %d", requests => {
+        const random = seededRandom(9);
+        const split = new WeightedSplit(random);
+        let first = 0;
+        let expected = 0;
+        for (let config = 0; config < 500; config++) {
+            const weight = Math.floor(random() * 99) + 1;
+            const divided = route([weight, 100 - weight]);
+            split.retain([divided]);
+            for (let request = 0; request < requests; request++) {
+                first += split.next(divided) === "service-0" ? 1 : 0;
+                expected += weight / 100;
+                expect(Math.abs(first - expected)).toBeLessThanOrEqual(1.5);
+            }
+        }
+    });
+
+    it("gives no request to a service whose weight has become zero", () => {
+        const split = new WeightedSplit(seededRandom(3));
+        split.next(route([1, 99]));
+        const divided = route([100, 0]);
+        split.retain([divided]);
+        const services = Array.from({ length: 20 }, () => split.next(divided));
+        expect(new Set(services)).toEqual(new Set(["service-0"]));
+    });
+
+    it("divides the requests of routes with the same name apart", () => {
+        const split = new WeightedSplit(() => 0);
+        const two = route([50, 50]);
+        const three = { ...route([1, 1, 1]), prefix: "/other/" };
+        const services = Array.from({ length: 3 }, () => [split.next(two), split.next(three)]);
+        expect(services.map(([, service]) => service).sort()).toEqual(["service-0", "service-1", "service-2"]);
+    });
 });
