--- a/test/failure/configSoak.test.ts
+++ b/test/failure/configSoak.test.ts
@@ -26,8 +26,10 @@
 describe("large configs in quick succession", () => {
     let fleet: GatewayFleet;
     let faults: ConfigFaults;
+    let isOver = false;
 
     afterEach(async () => {
+        isOver = true;
         faults.dispose();
         await fleet.dispose();
     });
@@ -48,7 +50,7 @@
             };
             write();
             const endsAt = performance.now() + 1_000 * SECONDS;
-            let isOver = false;
+            isOver = false;
             const late: string[] = [];
             const divided: string[] = [];
 
