Keep the sign of a missed change until it has been read (CONFIG)

Cause: two flags stood for a version. Which version other instances have shown is kept now; an instance is behind until it has read up to it, and a message that shows no more than was read causes no further call.

Evidence: the test in tableFollower failed before.

--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -19,6 +19,7 @@
         isProbed?: () => boolean;
         needsNewest?: boolean;
         logger?: Logger;
+        relay?: ConstructorParameters<typeof TableFollower>[0]["relay"];
     } = { pauseMs: 0 },
 ) => {
     const rows = new Map<string, unknown>();
@@ -40,6 +41,7 @@
         minPauseMs: pauses.minPauseMs,
         isProbed: pauses.isProbed,
         needsNewest: pauses.needsNewest,
+        relay: pauses.relay,
         followed: {
             replaced: all => {
                 snapshots.push("replaced");
@@ -572,6 +574,38 @@
         expect(follower.isFailing).toBe(false);
     });
 
+    // The sign of a change was dropped with the answer to a call that had begun before the change.
+    it("reads again a change that a relayed message shows during a reading of the whole table", async () => {
+        const clock = new ManualClock();
+        const store = new MemoryRowStore();
+        store.put("t", "a", 1);
+        const { follower, rows } = createFollower(store, clock, {
+            pauseMs: 0,
+            needsNewest: true,
+            relay: { maxAgeMs: MAX_AGE_MS, isSource: () => false, read: () => undefined },
+        });
+        await advanceInSteps(clock, 20);
+        const relay = (from: number) => follower.relayed({ table: "t", era: 0, from, to: from, ageMs: 0, rows: [] });
+        relay(store.latestVersion);
+        await advanceInSteps(clock, 200);
+        store.put("t", "a", 2);
+        const snapshot = store.snapshot.bind(store);
+        store.snapshot = async table => {
+            const answer = await snapshot(table);
+            await new Promise<void>(resolve => {
+                clock.setTimer(300, resolve);
+            });
+            return answer;
+        };
+        relay(store.latestVersion);
+        await advanceInSteps(clock, 100);
+        store.put("t", "a", 3);
+        relay(store.latestVersion);
+        await advanceInSteps(clock, 300 + 500 + 300 + 100);
+        follower.dispose();
+        expect(rows.get("a")).toBe(3);
+    });
+
     it("guards against a first held call on a connection that has died while changes were relayed", async () => {
         const { clock, follower, waits, relay } = await start({ isDead: false });
         for (let elapsedMs = 0; elapsedMs < 2 * HELD_MS; elapsedMs += 400) {
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -61,8 +61,8 @@
     private mustList = true;
     /** Whether a call has failed, or the table changes faster than it can be read; relayed changes still apply. */
     private isLagging = false;
-    /** Whether relayed messages have shown changes that this instance hasn't read. */
-    private isBehind = false;
+    /** Latest version of a change that a relayed message has shown without its content. */
+    private shownVersion = 0;
     /** Monotonic time in milliseconds at which a change was read last. */
     private changedAt = -Infinity;
     /** Whether the pause between readings of the whole table runs, which only a request for the current state ends. */
@@ -212,9 +212,9 @@
             return;
         }
         if (era !== this.era || this.position < from) {
-            this.isBehind = true;
             this.endHeldCall();
             this.readInstead();
+            this.shownVersion = era === this.era ? Math.max(this.shownVersion, from) : this.shownVersion;
             return;
         }
         for (const row of rows.filter(each => this.versions.isNew(each))) {
@@ -274,11 +274,17 @@
         }
     }
 
+    /** Whether relayed messages have shown changes that this instance hasn't read. */
+    private get isBehind(): boolean {
+        return this.position < this.shownVersion;
+    }
+
     /** Whether another instance relays the changes and none were missed. */
     private isRelayed(): boolean {
         const { clock, relay } = this.options;
         return (
             !this.isReadNeeded &&
+            !this.isBehind &&
             !this.mustList &&
             clock.monotonicMs() < this.relayedUntil &&
             relay?.isSource() === false
@@ -316,7 +322,7 @@
                 await this.pause(Math.min(RELAY_CHECK_MS, this.relayedUntil - this.options.clock.monotonicMs()));
                 continue;
             }
-            const wasReadNeeded = this.isReadNeeded;
+            const wasReadNeeded = this.isReadNeeded || this.isBehind;
             const isWhole = this.readsWhole();
             const step = isWhole ? await this.list() : await this.follow();
             if (step === "failed") {
@@ -357,6 +363,7 @@
     private async list(): Promise<"changed" | "quiet" | "failed"> {
         const { store, table, followed } = this.options;
         this.isPathUnknown = false;
+        this.isReadNeeded = false;
         this.progress.begin(0);
         const snapshot = await store.snapshot(table, this.progress.received);
         const call = this.progress.end();
@@ -372,8 +379,6 @@
         if (version < this.position) {
             return this.failed({ type: "platform-protocol", detail: `snapshot at ${version} is stale` });
         }
-        this.isReadNeeded = false;
-        this.isBehind = false;
         if (!this.mustList) {
             const changes = this.versions.changesTo(rows, version);
             // A table that has changed probably changes again.
@@ -401,7 +406,7 @@
     private async follow(): Promise<FollowerStep> {
         const { store, table, logger } = this.options;
         // While the store fails, calls without a wait detect its recovery earliest.
-        this.isCallHeld = !this.isFailing && !this.isReadNeeded && !this.isPathUnknown;
+        this.isCallHeld = !this.isFailing && !this.isReadNeeded && !this.isBehind && !this.isPathUnknown;
         this.isReadNeeded = false;
         this.isPathUnknown = false;
         this.heldCall = new AbortController();
@@ -437,7 +442,6 @@
         const { rows, version } = changes.value;
         this.readEnded(call, rows.length);
         const newest = this.options.needsNewest === true ? newestRows(rows) : rows;
-        this.isBehind = false;
         this.isLagging = newest.length < rows.length;
         this.apply(newest, version);
         return rows.length > 0 ? "changed" : "quiet";
@@ -483,6 +487,7 @@
     private enterEra(era: number): void {
         this.era = era;
         this.position = 0;
+        this.shownVersion = 0;
         this.versions.clear();
         this.mustList = true;
         this.isRestored = true;
--- a/test/failure/configSoak.test.ts
+++ b/test/failure/configSoak.test.ts
@@ -114,8 +114,19 @@
             );
             if (late.length > 0 || process.env.SEED !== undefined) {
                 const load = loadavg()[0].toFixed(1);
+                const startedAt = Date.now() - performance.now();
+                const lines = fleet.members
+                    .filter(({ name }) => late.some(each => each.includes(` ${name}: `)))
+                    .flatMap(({ name, lines: read }) =>
+                        read()
+                            .filter(({ message }) => /^(platform|bundles|ownership: The lease)/.test(message))
+                            .map(({ time, message, ...fields }) => {
+                                const at = Math.round(Date.parse(time) - startedAt);
+                                return `${at} ${name} ${message} ${JSON.stringify(fields)}`;
+                            }),
+                    );
                 console.log(
-                    `seed ${seed}: ${writtenAt.length} configs, ${divided.length} divided requests, load ${load}\n${series.join("\n")}`,
+                    `seed ${seed}: ${writtenAt.length} configs, ${divided.length} divided requests, load ${load}\n${[...series, ...lines].join("\n")}`,
                 );
             }
             expect(late).toEqual([]);
