--- a/src/connection/__tests__/httpCalls.test.ts
+++ b/src/connection/__tests__/httpCalls.test.ts
@@ -73,11 +73,13 @@
     const PART_MS = 100;
     const bodyTimeouts = { partMs: TIMEOUT_MS, wholeMs: PATIENCE_MS };
 
-    /** Makes a call whose response has `sent` parts of `PARTS`. */
-    const ask = async (sent: number, timeouts = bodyTimeouts) => {
+    /** Makes a call whose response has `sent` parts of `PARTS`, the first one `heldMs` milliseconds after its head. */
+    const ask = async (sent: number, timeouts = bodyTimeouts, heldMs = 0) => {
         const server = createServer((_, response) => {
             response.writeHead(200, { "content-length": String(PARTS) });
+            response.flushHeaders();
             void (async () => {
+                await pause(heldMs);
                 for (let part = 0; part < sent; part++) {
                     response.write("x");
                     await pause(PART_MS);
@@ -99,6 +101,11 @@
         expect(await ask(PARTS)).toMatchObject({ result: { type: "response", status: 200 }, bytes: PARTS });
     });
 
+    it("waits for the body of a held call whose head comes at once", async () => {
+        const timeouts = { partMs: 1.5 * PART_MS, wholeMs: PATIENCE_MS };
+        expect(await ask(PARTS, timeouts, 2 * PART_MS)).toMatchObject({ result: { type: "response" }, bytes: PARTS });
+    });
+
     it("ends when no further part arrives", async () => {
         expect(await ask(2)).toMatchObject({ result: { type: "unanswered" }, bytes: 2 });
     });
--- a/src/connection/httpCalls.ts
+++ b/src/connection/httpCalls.ts
@@ -29,7 +29,7 @@
 export interface BodyTimeouts {
     /** Time without a further part after which the path counts as dead, in milliseconds. */
     partMs: number;
-    /** Time for the whole body, in milliseconds. */
+    /** Time from the first part to the last one, in milliseconds. */
     wholeMs: number;
 }
 
@@ -45,7 +45,7 @@
     received?: (bytes: number) => void;
     /**
      * Limits of the time in which the body arrives, for a response that may be large. The timeout of the call then only limits
-     * the time until its head; by default it limits all of it.
+     * the time until the first part of the body; by default it limits all of it.
      */
     bodyTimeouts?: BodyTimeouts;
 }
@@ -128,16 +128,15 @@
                 : { body: request.body, headers: { "content-type": "application/json", ...request.headers } }),
             signal: controller.signal,
         });
-        if (bodyTimeouts !== undefined) {
-            clearTimeout(timer);
-            timer = endAfter(bodyTimeouts.partMs);
-            wholeTimer = endAfter(bodyTimeouts.wholeMs);
-        }
         const chunks: Buffer[] = [];
         for await (const chunk of response.body as AsyncIterable<Buffer>) {
             chunks.push(chunk);
             received?.(chunk.length);
-            if (bodyTimeouts !== undefined) {
+            if (bodyTimeouts !== undefined && wholeTimer === undefined) {
+                clearTimeout(timer);
+                timer = endAfter(bodyTimeouts.partMs);
+                wholeTimer = endAfter(bodyTimeouts.wholeMs);
+            } else if (bodyTimeouts !== undefined) {
                 timer.refresh();
             }
         }
--- a/src/process/gateway/decideRead.ts
+++ b/src/process/gateway/decideRead.ts
@@ -4,7 +4,7 @@
 const MIN_WHOLE_PAUSE_MS = 500;
 const MAX_WHOLE_PAUSE_MS = 700;
 
-/** What a follower knows of a table that it is going to read. */
+/** State of a table before it is read. */
 export interface ReadState {
     /** Whether the last call failed, or its answer showed that the table changes faster than it can be read. */
     isLagging: boolean;
--- a/test/support/configFaults.ts
+++ b/test/support/configFaults.ts
@@ -20,7 +20,7 @@
     until: number;
 }
 
-/** Applies random faults to the instances of a fleet and their paths to the store, and knows which are calm. */
+/** Applies random faults to the instances of a fleet and their paths to the store, and states which are calm. */
 export class ConfigFaults {
     readonly series: ConfigFault[] = [];
     private readonly stallTimer: NodeJS.Timeout;
