--- a/src/process/gateway/__tests__/tableFollower.test.ts
+++ b/src/process/gateway/__tests__/tableFollower.test.ts
@@ -27,6 +27,7 @@
     const eras: number[] = [];
     /** Kind of each snapshot. */
     const snapshots: string[] = [];
+    const removed: string[] = [];
     const replace = (all: StoredRow[]) => {
         rows.clear();
         all.forEach(({ key, value }) => rows.set(key, JSON.parse(String(value))));
@@ -55,6 +56,7 @@
             changed: ({ key, value }) => {
                 if (value === undefined) {
                     rows.delete(key);
+                    removed.push(key);
                 } else {
                     rows.set(key, JSON.parse(String(value)));
                 }
@@ -64,7 +66,7 @@
         },
     });
     follower.start();
-    return { follower, rows, regained, eras, snapshots };
+    return { follower, rows, regained, eras, snapshots, removed };
 };
 
 describe("TableFollower", () => {
@@ -174,6 +176,44 @@
         expect(regained).toHaveLength(1);
     });
 
+    it("reads the whole table if the changes take too long to arrive, which is no failure of the store", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", 0);
+        const { follower, rows } = createFollower(store, clock, { pauseMs: 0, needsNewest: true });
+        await advanceInSteps(clock, 100);
+        store.changes = (...[, , , signal, received]: Parameters<RowStore["changes"]>) =>
+            new Promise(resolve => {
+                received?.(512);
+                const failure: PlatformError = { type: "platform-unknown", detail: "aborted" };
+                signal?.addEventListener("abort", () => resolve(err(failure)));
+            });
+        store.put("t", "a", 1);
+        await advanceInSteps(clock, 400);
+        expect([rows.get("a"), follower.isFailing]).toEqual([1, false]);
+        follower.dispose();
+    });
+
+    // A row that comes and goes during an outage is seen only in the changes.
+    it("reads the removal of a row that was written while the store turned calls away", async () => {
+        const store = new MemoryRowStore();
+        const clock = new ManualClock();
+        store.put("t", "a", 0);
+        const { follower, removed } = createFollower(store, clock, { pauseMs: 0, needsNewest: true });
+        await advanceInSteps(clock, 100);
+        store.fault = "down";
+        await advanceInSteps(clock, 2_000);
+        store.put("t", "b", 1);
+        store.drop("t", "b");
+        store.fault = undefined;
+        await waitFor(async () => {
+            await advanceInSteps(clock, 100);
+            return !follower.isFailing;
+        });
+        follower.dispose();
+        expect(removed).toEqual(["b"]);
+    });
+
     // An instance asked for all versions between, of which there were more during each call than during the one before.
     it("stays a few calls behind a row that changes faster than its versions can be sent", async () => {
         const SEND_MS = 300;
--- a/src/process/gateway/tableFollower.ts
+++ b/src/process/gateway/tableFollower.ts
@@ -1,7 +1,7 @@
 import type { Clock, TimerCancellation } from "../runtime/clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { PlatformError } from "../store/platformError.js";
-import { decideRead, wholePauseMs } from "./decideRead.js";
+import { decideRead, maxChangesMs, wholePauseMs } from "./decideRead.js";
 import type { FollowedTable } from "./followedTable.js";
 import { ReadProgress, type ReadCall } from "./readProgress.js";
 import type { RelayedChanges, RelayedRow } from "./relayMessage.js";
@@ -41,7 +41,7 @@
 const RELAY_READ_PAUSE_MS = 200;
 
 /** Result of a call to the store. */
-type FollowerStep = "changed" | "quiet" | "failed" | "history-lost" | "restored";
+type FollowerStep = "changed" | "quiet" | "failed" | "too-large" | "history-lost" | "restored";
 
 /**
  * Follows one table of the store: reads a snapshot, then its changes. Rows older than the known versions are ignored, so
@@ -59,12 +59,10 @@
     /** Latest known era; `undefined` before the first answer. */
     private era: number | undefined;
     private mustList = true;
-    /** Whether a call has failed, or the table changes faster than it can be read; relayed changes still apply. */
+    /** Whether the changes may take too long to read, or come faster than they are read; relayed changes still apply. */
     private isLagging = false;
     /** Latest version of a change that a relayed message has shown without its content. */
     private shownVersion = 0;
-    /** Monotonic time in milliseconds at which a change was read last. */
-    private changedAt = -Infinity;
     /** Whether the pause between readings of the whole table runs, which only a request for the current state ends. */
     private isPacing = false;
     /** Whether the store was restored and the table hasn't been listed since. */
@@ -91,9 +89,13 @@
     private isPathUnknown = false;
     /** Whether the held call was ended to be made anew, which is no failure of the store. */
     private isCallRenewed = false;
+    /** Whether the call under way was ended, since its answer took too long to arrive. */
+    private isTooLarge = false;
     private readonly progress: ReadProgress;
-    /** Duration of the last call that was answered, in milliseconds. */
-    private lastReadMs = 0;
+    /** Duration of the last reading of the whole table, in milliseconds. */
+    private wholeMs = 0;
+    /** Cancels the end of the call whose answer has begun to arrive. */
+    private cancelTooLarge: TimerCancellation | undefined;
     /** Cancels the end of the held call, which must have been answered by then. */
     private cancelEndOfCall: TimerCancellation | undefined;
 
@@ -247,7 +249,6 @@
             return false;
         }
         this.versions.add({ key, version }, change !== undefined || value !== undefined);
-        this.changedAt = this.options.clock.monotonicMs();
         return true;
     }
 
@@ -312,6 +313,7 @@
     dispose(): void {
         this.disposed = true;
         this.cancelEndOfCall?.();
+        this.cancelTooLarge?.();
         this.wake();
     }
 
@@ -337,15 +339,15 @@
 
     /** Whether the next call reads the whole table. */
     private readsWhole(): boolean {
-        const { isLagging, isBehind, lastAnswerAt, changedAt } = this;
-        const state = { isLagging, isBehind, silentMs: this.silentMs(), unchangedMs: lastAnswerAt - changedAt };
+        const { isLagging, isBehind, isFailing } = this;
+        const state = { isLagging, isBehind, isFailing, silentMs: this.silentMs() };
         return this.mustList || (this.options.needsNewest === true && decideRead(state) === "whole");
     }
 
     private async pauseAfterChanges(isWholeReadAgain: boolean): Promise<void> {
         const changesPauseMs = this.options.pauseMs();
         const minMs = Math.min(changesPauseMs, this.options.minPauseMs ?? changesPauseMs);
-        const pauseMs = isWholeReadAgain ? Math.max(changesPauseMs, wholePauseMs(this.lastReadMs)) : changesPauseMs;
+        const pauseMs = isWholeReadAgain ? Math.max(changesPauseMs, wholePauseMs(this.wholeMs)) : changesPauseMs;
         this.isRefreshRequested = false;
         this.freshFrom = Infinity;
         this.isPacing = pauseMs > changesPauseMs;
@@ -371,6 +373,7 @@
             return this.failed(snapshot.error, call);
         }
         this.readEnded(call, snapshot.value.rows.length);
+        this.wholeMs = call.ms;
         const { rows, version, era } = snapshot.value;
         if (!this.checkEra(era)) {
             return this.late(era);
@@ -413,9 +416,11 @@
         const waitMs = this.isCallHeld ? this.options.waitMs() : 0;
         this.progress.begin(waitMs);
         const { signal } = this.heldCall;
-        const changes = await store.changes(table, this.position, waitMs, signal, this.progress.received);
+        const changes = await store.changes(table, this.position, waitMs, signal, this.limitedReceipt());
         const call = this.progress.end();
         this.isCallHeld = false;
+        this.cancelTooLarge?.();
+        this.cancelTooLarge = undefined;
         this.cancelEndOfCall?.();
         this.cancelEndOfCall = undefined;
         const { isCallRenewed } = this;
@@ -423,6 +428,10 @@
         if (this.isRestored) {
             return "restored";
         }
+        if (changes.isErr() && this.isTooLarge) {
+            this.isLagging = true;
+            return "too-large";
+        }
         if (changes.isErr()) {
             return isCallRenewed ? "quiet" : this.failed(changes.error, call);
         }
@@ -447,6 +456,22 @@
         return rows.length > 0 ? "changed" : "quiet";
     }
 
+    /** Observes an answer with changes, and ends the call if the whole table is probably read sooner. */
+    private limitedReceipt(): (bytes: number) => void {
+        const { clock, needsNewest } = this.options;
+        const { heldCall } = this;
+        this.isTooLarge = false;
+        return bytes => {
+            this.progress.received(bytes);
+            if (needsNewest === true) {
+                this.cancelTooLarge ??= clock.setTimer(maxChangesMs(this.wholeMs), () => {
+                    this.isTooLarge = true;
+                    heldCall.abort(new Error("The changes take too long to arrive."));
+                });
+            }
+        };
+    }
+
     /** Applies the changes up to a version, and passes them on. */
     private apply(rows: readonly StoredRow[], to: number): void {
         const { followed, relay } = this.options;
@@ -460,9 +485,6 @@
                 applied.push({ key, version, value: content, change });
             }
         }
-        if (rows.length > 0) {
-            this.changedAt = this.lastAnswerAt;
-        }
         this.knownUntil = this.lastAnswerAt;
         const from = this.position;
         this.position = Math.max(from, to);
@@ -517,7 +539,6 @@
     }
 
     private readEnded({ ms, bytes }: ReadCall, rows: number): void {
-        this.lastReadMs = ms;
         if (ms >= SLOW_READ_MS) {
             const { table, logger } = this.options;
             logger.info(`Reading table ${table} took long.`, { ms: Math.round(ms), bytes, rows });
@@ -534,7 +555,10 @@
             logger.warn(`Table ${table} is out of date.`, { silentMs, failures: this.failures + 1, ...cause });
         }
         this.failures++;
-        this.isLagging = true;
+        if (error.type === "platform-unknown") {
+            // The answer may have been too large, or the path dead, where the changes say more than the whole table.
+            this.isLagging = call.bytes > 0 || !this.isLagging;
+        }
         return "failed";
     }
 
